--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measure marlbend against small stand-ins for everything around it."""
--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,39 @@
+"""Run a measurement by name; the last line printed is one JSON object."""
+
+import argparse
+import asyncio
+import sys
+from collections.abc import Callable, Coroutine, Mapping
+from typing import Final
+
+import msgspec
+
+from bench.steady import run_steady
+
+__all__ = ('run',)
+
+Measurement = Callable[[int], Coroutine[None, None, msgspec.Struct]]
+
+MEASUREMENTS: Final[Mapping[str, Measurement]] = {
+    'steady': run_steady,
+}
+
+
+def run() -> None:
+    """Run the measurement named on the command line."""
+    parser = argparse.ArgumentParser(prog='python -m bench')
+    parser.add_argument('name', choices=sorted(MEASUREMENTS))
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--json', action='store_true')
+    arguments = parser.parse_args()
+    report: msgspec.Struct = asyncio.run(
+        MEASUREMENTS[arguments.name](arguments.seed)
+    )
+    if not arguments.json:
+        for key, figure in msgspec.to_builtins(report).items():
+            sys.stdout.write(f'{key}: {figure}\n')
+    sys.stdout.write(f'{msgspec.json.encode(report).decode()}\n')
+
+
+if __name__ == '__main__':
+    run()
--- /dev/null
+++ b/bench/stage.py
@@ -0,0 +1,283 @@
+"""Set a whole deployment up on loopback: the scene of a measurement.
+
+The second octet of every address follows from the seed, so that a run can be
+repeated, and is the next free one when another measurement holds it.
+"""
+
+import asyncio
+import pathlib
+import socket
+from collections.abc import AsyncIterator, Mapping, Sequence
+from contextlib import asynccontextmanager
+from random import Random
+from typing import Final, final
+
+import msgspec
+
+from bench.callers import Callers, Fabric, open_hosts
+from bench.processes import (
+    Processes,
+    end_all,
+    end_process,
+    start_instance,
+    start_module,
+)
+from bench.segments import Endpoint
+from bench.upstreams import UpstreamCounts
+from marlbend.config import Configuration, ServiceSpec
+from marlbend.config.publish import publish_configuration
+from marlbend.errors import MarlbendError
+from marlbend.packets.receive import open_socket
+from marlbend.platform import Platform
+from marlbend.platform.instances import INSTANCES_PATH, ListedInstance
+from marlbend.wire.messages import Status
+from marlbend.wire.rpc import call_status
+
+__all__ = ('Stage', 'open_stage')
+
+EXAMPLES: Final = pathlib.Path(__file__).parent.parent / 'examples'
+PLATFORM_PORT: Final = 6090
+FABRIC_PORT: Final = 6080
+RELAY_PORT: Final = 6081
+CONTROL_PORT: Final = 6082
+ADMIN_PORT: Final = 6083
+CALLER_HOSTS: Final = 4
+START_SECONDS: Final = 20
+POLL_SECONDS: Final = 0.05
+
+_FIRST_OCTET: Final = 30
+_OCTETS: Final = 200
+_LOCK_PORT: Final = 6099
+
+
+@final
+class Stage:
+    """Hold everything that runs around one measurement.
+
+    `listed` is the platform's list of instances; the fabric is told
+    separately, as it lags behind.
+    """
+
+    __slots__ = (
+        'callers',
+        'listed',
+        'lock',
+        'octet',
+        'platform',
+        'processes',
+        'publications',
+        'specs',
+    )
+
+    def __init__(self, seed: int) -> None:
+        """Prepare; nothing runs yet."""
+        self.lock, self.octet = _claim_octet(seed)
+        self.processes = Processes()
+        self.callers = Callers(Fabric((), Random(seed)))
+        self.platform = Platform(f'http://{self.address(0, 1)}:{PLATFORM_PORT}')
+        self.listed: dict[str, ListedInstance] = {}
+        self.specs: dict[str, ServiceSpec] = {}
+        self.publications = 0
+
+    def address(self, net: int, host: int) -> str:
+        """Return an address of this stage."""
+        return f'127.{self.octet}.{net}.{host}'
+
+    def endpoint(self, service: str) -> Endpoint:
+        """Return where callers reach a service."""
+        spec = self.specs[service]
+        return spec.addresses[0], spec.ports[0]
+
+
+@asynccontextmanager
+async def open_stage(
+    deployment: str,
+    instances: int,
+    seed: int,
+) -> AsyncIterator[Stage]:
+    """Start platform, upstreams, instances and callers of a deployment."""
+    stage = Stage(seed)
+    try:
+        await _start_surroundings(stage, deployment)
+        domains = sorted(
+            {
+                upstream.domain
+                for spec in stage.specs.values()
+                for upstream in spec.upstreams
+            }
+        )
+        for number in range(instances):
+            await add_instance(stage, domains[number % len(domains)])
+        await write_instances(stage)
+        await publish(stage)
+        await wait_until_serving(stage)
+        yield stage
+    finally:
+        await stage.platform.close()
+        await end_all(stage.processes)
+        stage.lock.close()
+
+
+async def add_instance(stage: Stage, domain: str) -> str:
+    """Start one more instance and return its name."""
+    number = len(stage.listed) + 1
+    name = f'i{number}'
+    listed = ListedInstance(
+        name=name,
+        address=stage.address(1, number),
+        domain=domain,
+        state='live',
+        fabric_port=FABRIC_PORT,
+        relay_port=RELAY_PORT,
+        control_port=CONTROL_PORT,
+        admin_port=ADMIN_PORT,
+    )
+    stage.listed[name] = listed
+    await start_instance(
+        stage.processes,
+        {
+            'name': name,
+            'address': listed.address,
+            'domain': domain,
+            'platform': stage.platform.url,
+        },
+    )
+    return name
+
+
+async def write_instances(stage: Stage) -> None:
+    """Let the platform list the instances as they should be known."""
+    stored = await stage.platform.read(*INSTANCES_PATH)
+    body = msgspec.json.encode({'instances': list(stage.listed.values())})
+    await stage.platform.write(*INSTANCES_PATH, body, stored.version)
+
+
+async def publish(stage: Stage) -> int:
+    """Publish the services of the stage and return the version."""
+    stage.publications += 1
+    return await publish_configuration(
+        stage.platform,
+        Configuration(tuple(stage.specs.values())),
+        f'stage-{stage.publications}',
+    )
+
+
+async def ask_statuses(stage: Stage) -> dict[str, Status]:
+    """Return the status of each instance that answers."""
+    statuses = await asyncio.gather(
+        *(_ask_status(listed) for listed in stage.listed.values())
+    )
+    return {status.name: status for status in statuses if status is not None}
+
+
+async def wait_until_serving(stage: Stage) -> None:
+    """Wait until all instances serve and see each other; tell the fabric."""
+    expected = len(stage.listed)
+    async with asyncio.timeout(START_SECONDS):
+        while True:
+            statuses = await ask_statuses(stage)
+            ready = [
+                status
+                for status in statuses.values()
+                if status.state == 'serving'
+                and _count_homes(status) == expected
+            ]
+            if len(ready) == expected:
+                break
+            await asyncio.sleep(POLL_SECONDS)
+    tell_fabric(stage, tuple(stage.listed))
+
+
+async def wait_in_force(stage: Stage, version: int) -> None:
+    """Wait until a configuration is in force at every instance."""
+    async with asyncio.timeout(START_SECONDS):
+        while True:
+            statuses = await ask_statuses(stage)
+            lowest = min(status.config_version for status in statuses.values())
+            if lowest >= version:
+                return
+            await asyncio.sleep(POLL_SECONDS)
+
+
+def tell_fabric(stage: Stage, names: Sequence[str]) -> None:
+    """Let the fabric spray over the instances named."""
+    stage.callers.fabric.instances = [
+        (stage.listed[name].address, FABRIC_PORT) for name in names
+    ]
+
+
+async def end_upstreams(stage: Stage) -> dict[str, UpstreamCounts]:
+    """Stop the upstreams and return what they counted, by name."""
+    counts: dict[str, UpstreamCounts] = {}
+    for service in stage.specs:
+        printed = await end_process(stage.processes, f'upstreams-{service}')
+        counts.update(
+            msgspec.json.decode(printed, type=dict[str, UpstreamCounts])
+        )
+    return counts
+
+
+def load_deployment(name: str, octet: int) -> Mapping[str, ServiceSpec]:
+    """Read the service files of a deployment, moved to other addresses."""
+    specs: dict[str, ServiceSpec] = {}
+    for path in sorted((EXAMPLES / name).glob('*.json')):
+        if path.name != 'settings.json':
+            text = path.read_text().replace('"127.20.', f'"127.{octet}.2')
+            spec = msgspec.json.decode(text, type=ServiceSpec)
+            specs[spec.service] = spec
+    return specs
+
+
+def _claim_octet(seed: int) -> tuple[socket.socket, int]:
+    for offset in range(_OCTETS):
+        octet = _FIRST_OCTET + (seed + offset) % _OCTETS
+        try:
+            return open_socket(f'127.{octet}.0.1', _LOCK_PORT), octet
+        except MarlbendError:
+            continue
+    raise RuntimeError('every octet is taken')
+
+
+async def _start_surroundings(stage: Stage, deployment: str) -> None:
+    await start_module(
+        stage.processes,
+        'platform',
+        'bench.platform',
+        ['--address', stage.address(0, 1), '--port', str(PLATFORM_PORT)],
+    )
+    stage.specs.update(load_deployment(deployment, stage.octet))
+    for service, spec in stage.specs.items():
+        path = stage.processes.write_file(
+            f'{service}.json', msgspec.json.encode(spec)
+        )
+        await start_module(
+            stage.processes,
+            f'upstreams-{service}',
+            'bench.upstreams',
+            ['--service', path],
+        )
+    hosts = [stage.address(3, host + 1) for host in range(CALLER_HOSTS)]
+    open_hosts(stage.callers, hosts)
+    await _wait_for_platform(stage.platform)
+
+
+async def _wait_for_platform(platform: Platform) -> None:
+    async with asyncio.timeout(START_SECONDS):
+        while True:
+            try:
+                await platform.read(*INSTANCES_PATH)
+            except MarlbendError:
+                await asyncio.sleep(POLL_SECONDS)
+            else:
+                return
+
+
+async def _ask_status(listed: ListedInstance) -> Status | None:
+    try:
+        return await call_status(listed.address, listed.admin_port, listed.name)
+    except MarlbendError:
+        return None
+
+
+def _count_homes(status: Status) -> int:
+    return sum(member.home_share > 0 for member in status.members)
--- /dev/null
+++ b/marlbend/checking.py
@@ -0,0 +1,102 @@
+"""Decode JSON documents and report every problem in them at once.
+
+The decoder of `msgspec` stops at the first fault.  A user who edits a file by
+hand wants to hear of all of them, so each field is converted on its own and
+the faults are collected with the path of the field.
+"""
+
+import ipaddress
+import pathlib
+from collections.abc import Iterator
+from typing import Final, TypeVar, get_args, get_origin
+
+import msgspec
+
+from marlbend import messages
+from marlbend.errorcodes import ErrorKind
+from marlbend.errors import MarlbendError, Problem
+
+__all__ = ('check_address', 'decode_checked', 'find_problems', 'read_json')
+
+_Document = TypeVar('_Document', bound=msgspec.Struct)
+
+_ROOT: Final = '$'
+
+
+def read_json(path: str) -> object:
+    """Read a JSON file; raise FILE_UNREADABLE or NOT_JSON."""
+    try:
+        raw = pathlib.Path(path).read_bytes()
+    except OSError as error:
+        raise MarlbendError(
+            ErrorKind.FILE_UNREADABLE,
+            messages.FILE_UNREADABLE.format(path=path, reason=error.strerror),
+        ) from None
+    try:
+        return msgspec.json.decode(raw)
+    except msgspec.DecodeError as fault:
+        raise MarlbendError(
+            ErrorKind.NOT_JSON,
+            messages.NOT_JSON.format(path=path, reason=fault),
+        ) from None
+
+
+def decode_checked(
+    raw: object,
+    shape: type[_Document],
+) -> tuple[_Document | None, list[Problem]]:
+    """Convert decoded JSON to a typed document, or list its problems."""
+    problems = list(find_problems(raw, shape, _ROOT))
+    if problems:
+        return None, problems
+    return msgspec.convert(raw, shape), problems
+
+
+def find_problems(raw: object, shape: object, path: str) -> Iterator[Problem]:
+    """Yield the problems of a value against the type it should have."""
+    if isinstance(shape, type) and issubclass(shape, msgspec.Struct):
+        yield from _check_struct(raw, shape, path)
+    elif get_origin(shape) is tuple and isinstance(raw, list):
+        element_shape = get_args(shape)[0]
+        for position, element in enumerate(raw):
+            place = f'{path}[{position}]'
+            yield from find_problems(element, element_shape, place)
+    else:
+        yield from _check_scalar(raw, shape, path)
+
+
+def check_address(address: str, path: str) -> Iterator[Problem]:
+    """Yield a problem unless the text is an IPv4 address."""
+    try:
+        ipaddress.IPv4Address(address)
+    except ValueError:
+        text = messages.NOT_AN_ADDRESS.format(address=address)
+        yield Problem(path, text)
+
+
+def _check_struct(
+    raw: object,
+    shape: type[msgspec.Struct],
+    path: str,
+) -> Iterator[Problem]:
+    if not isinstance(raw, dict):
+        yield Problem(path, messages.NOT_AN_OBJECT)
+        return
+    fields = msgspec.structs.fields(shape)
+    known = {field.encode_name for field in fields}
+    for name in raw.keys() - known:
+        yield Problem(f'{path}.{name}', messages.FIELD_UNKNOWN)
+    for field in fields:
+        place = f'{path}.{field.encode_name}'
+        if field.encode_name in raw:
+            element = raw[field.encode_name]
+            yield from find_problems(element, field.type, place)
+        elif field.required:
+            yield Problem(place, messages.FIELD_MISSING)
+
+
+def _check_scalar(raw: object, shape: object, path: str) -> Iterator[Problem]:
+    try:
+        msgspec.convert(raw, shape)
+    except msgspec.ValidationError as error:
+        yield Problem(path, str(error))
--- /dev/null
+++ b/marlbend/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Drive marlbend from the command line."""
--- /dev/null
+++ b/marlbend/cli/main.py
@@ -0,0 +1,140 @@
+"""Run the command-line tool `marlbend`.
+
+`fire` turns the methods of `Commands` into verbs.  A verb returns nothing and
+prints either text for a person or, with `--json`, one JSON object.
+"""
+
+import asyncio
+import os
+import sys
+from collections.abc import Awaitable, Callable
+from typing import Final, TypeVar, final
+
+import fire
+import msgspec
+
+from marlbend import VERSION, messages
+from marlbend.cli import reports
+from marlbend.config import collect_services
+from marlbend.config.publish import publish_configuration
+from marlbend.errorcodes import ErrorKind
+from marlbend.errors import MarlbendError
+from marlbend.platform import Platform
+
+__all__ = ('run',)
+
+_Answer = TypeVar('_Answer')
+
+PLATFORM_VARIABLE: Final = 'MARLBEND_PLATFORM'
+PUBLICATION_BYTES: Final = 8
+
+
+@final
+class Commands:
+    """Check and publish service files, and look at the instances."""
+
+    def check(self, *files: str, json: bool = False) -> None:
+        """Check service files on their own and as a whole.
+
+        Args:
+            files: the service files of all teams.
+            json: print one JSON object.
+
+        """
+        document = collect_services([str(path) for path in files])
+        reports.print_report(reports.report_check(document), json)
+
+    def publish(
+        self,
+        *files: str,
+        platform: str = '',
+        expected: int | None = None,
+        json: bool = False,
+    ) -> None:
+        """Check service files and publish them as the configuration.
+
+        Args:
+            files: the service files of all teams.
+            platform: URL of the platform, or the variable MARLBEND_PLATFORM.
+            expected: the version to replace; by default the current one.
+            json: print one JSON object.
+
+        """
+        document = collect_services([str(path) for path in files])
+        publication = os.urandom(PUBLICATION_BYTES).hex()
+
+        async def write(store: Platform) -> int:
+            return await publish_configuration(
+                store, document, publication, expected
+            )
+
+        version = _with_platform(platform, write)
+        reports.print_report(reports.report_publish(version, document), json)
+
+    def status(
+        self,
+        platform: str = '',
+        instance: str = '',
+        json: bool = False,
+    ) -> None:
+        """Show what each instance knows of itself.
+
+        Args:
+            platform: URL of the platform, or the variable MARLBEND_PLATFORM.
+            instance: show only the instance of this name.
+            json: print one JSON object.
+
+        """
+
+        async def ask(store: Platform) -> reports.StatusReport:
+            return await reports.collect_status(store, instance)
+
+        reports.print_report(_with_platform(platform, ask), json)
+
+    def version(self, json: bool = False) -> None:
+        """Show the version of this program.
+
+        Args:
+            json: print one JSON object.
+
+        """
+        reports.print_report(reports.VersionReport(VERSION), json)
+
+
+def run() -> None:
+    """Run `marlbend`; the exit code comes from the table of errors."""
+    try:
+        fire.Fire(Commands(), name='marlbend')
+    except MarlbendError as error:
+        _report_error(error)
+        sys.exit(error.exit_code)
+
+
+def _with_platform(
+    url: str,
+    work: Callable[[Platform], Awaitable[_Answer]],
+) -> _Answer:
+    """Run `work` with a connection to the platform and close it after."""
+    chosen = url or os.environ.get(PLATFORM_VARIABLE, '')
+    if not chosen:
+        raise MarlbendError(ErrorKind.USAGE, messages.NO_PLATFORM)
+
+    async def run_closing() -> _Answer:
+        store = Platform(chosen)
+        try:
+            return await work(store)
+        finally:
+            await store.close()
+
+    return asyncio.run(run_closing())
+
+
+def _report_error(error: MarlbendError) -> None:
+    if '--json' in sys.argv:
+        report = reports.ErrorReport(
+            error.kind.value,
+            error.text,
+            tuple(str(problem) for problem in error.problems),
+        )
+        sys.stdout.write(f'{msgspec.json.encode(report).decode()}\n')
+    sys.stderr.write(f'marlbend: {error}\n')
--- /dev/null
+++ b/marlbend/config/active.py
@@ -0,0 +1,166 @@
+"""Turn an accepted configuration into the look-ups of the packet path.
+
+A configuration with a version that is not higher than the one in force is
+ignored, whoever brought it, so that nothing ever reverts.
+"""
+
+import ipaddress
+from collections.abc import Iterator, Mapping
+from typing import Final, final
+
+from marlbend.config.documents import Configuration, ServiceSpec, UpstreamSpec
+from marlbend.hashing import hash_text, weigh_hash
+from marlbend.upstreams import Upstream, UpstreamPool
+
+__all__ = ('ActiveConfig', 'Service', 'apply_configuration')
+
+# A flow's digest picks one of these, which points to a failure domain.
+BUCKET_COUNT: Final = 256
+
+_PORT_BYTES: Final = 2
+
+
+@final
+class Service:
+    """Hold what a packet for one service needs to know.
+
+    `domain_by_bucket` names the failure domain of each digest bucket, and
+    `previous_by_bucket` what it was before, worth asking `previous_until`
+    (monotonic seconds).  `accepting` holds the upstreams for new flows.
+    """
+
+    __slots__ = (
+        'accepting',
+        'domain_by_bucket',
+        'domains',
+        'name',
+        'previous_by_bucket',
+        'previous_until',
+        'slot_base',
+    )
+
+    def __init__(self, name: str) -> None:
+        """Start as a service without upstreams."""
+        self.name = name
+        self.slot_base = hash_text(name)
+        self.accepting: tuple[Upstream, ...] = ()
+        self.domains: tuple[str, ...] = ()
+        nowhere = ('',) * BUCKET_COUNT
+        self.domain_by_bucket: tuple[str, ...] = nowhere
+        self.previous_by_bucket: tuple[str, ...] = nowhere
+        self.previous_until = 0.0
+
+
+@final
+class ActiveConfig:
+    """Hold the configuration in force and its look-ups."""
+
+    __slots__ = (
+        'document',
+        'pool',
+        'service_by_endpoint',
+        'service_by_name',
+        'version',
+    )
+
+    def __init__(self) -> None:
+        """Start with no configuration: version zero, no service."""
+        self.version = 0
+        self.document = Configuration(())
+        self.pool = UpstreamPool()
+        self.service_by_name: dict[str, Service] = {}
+        self.service_by_endpoint: dict[bytes, Service] = {}
+
+
+def apply_configuration(
+    active: ActiveConfig,
+    version: int,
+    document: Configuration,
+    chase_until: float,
+) -> bool:
+    """Put a configuration in force unless it is old; tell if it was put.
+
+    `chase_until` (monotonic seconds) ends the time in which homes that this
+    change moves ask the previous home.
+    """
+    if version <= active.version:
+        return False
+    for upstream in active.pool.by_number.values():
+        upstream.accepting = False
+    services = {
+        spec.service: _update_service(active, spec, chase_until)
+        for spec in document.services
+    }
+    active.service_by_name = services
+    active.service_by_endpoint = {
+        endpoint: services[spec.service]
+        for spec in document.services
+        for endpoint in _endpoints(spec)
+    }
+    active.document = document
+    active.version = version
+    return True
+
+
+def _update_service(
+    active: ActiveConfig,
+    spec: ServiceSpec,
+    chase_until: float,
+) -> Service:
+    service = active.service_by_name.get(spec.service) or Service(spec.service)
+    for upstream_spec in spec.upstreams:
+        _update_upstream(active.pool, spec.service, upstream_spec)
+    service.accepting = tuple(
+        active.pool.intern(spec.service, upstream.address, upstream.port)
+        for upstream in spec.upstreams
+        if not upstream.draining
+    )
+    weights = _domain_weights(spec)
+    by_bucket = tuple(_assign_buckets(spec.service, weights))
+    if by_bucket != service.domain_by_bucket:
+        service.previous_by_bucket = service.domain_by_bucket
+        service.previous_until = chase_until
+    service.domain_by_bucket = by_bucket
+    service.domains = tuple(weights)
+    return service
+
+
+def _update_upstream(
+    pool: UpstreamPool,
+    service: str,
+    spec: UpstreamSpec,
+) -> None:
+    upstream = pool.intern(service, spec.address, spec.port)
+    upstream.domain = spec.domain
+    upstream.slots = spec.slots
+    upstream.connections = spec.connections
+    upstream.accepting = not spec.draining
+
+
+def _domain_weights(spec: ServiceSpec) -> dict[str, int]:
+    weights: dict[str, int] = {}
+    for upstream in spec.upstreams:
+        known = weights.get(upstream.domain, 0)
+        weights[upstream.domain] = known + upstream.connections
+    return dict(sorted(weights.items()))
+
+
+def _assign_buckets(
+    service: str,
+    weights: Mapping[str, int],
+) -> Iterator[str]:
+    for bucket in range(BUCKET_COUNT):
+        yield max(
+            weights,
+            key=lambda domain: weigh_hash(
+                hash_text(f'{service}/{domain}/{bucket}'), weights[domain]
+            ),
+            default='',
+        )
+
+
+def _endpoints(spec: ServiceSpec) -> Iterator[bytes]:
+    for address in spec.addresses:
+        packed = ipaddress.IPv4Address(address).packed
+        for port in spec.ports:
+            yield packed + port.to_bytes(_PORT_BYTES)
--- /dev/null
+++ b/marlbend/config/check.py
@@ -0,0 +1,88 @@
+"""Check service files one by one and as a whole."""
+
+from collections.abc import Iterable, Iterator, Sequence
+from typing import final
+
+from marlbend import messages
+from marlbend.checking import check_address, decode_checked, read_json
+from marlbend.config.documents import Configuration, ServiceSpec
+from marlbend.errorcodes import ErrorKind
+from marlbend.errors import MarlbendError, Problem
+
+__all__ = ('collect_services', 'find_conflicts')
+
+
+@final
+class _Claims:
+    """Remember which service owns each address."""
+
+    __slots__ = ('owner_by_place', 'text')
+
+    def __init__(self, text: str) -> None:
+        self.text = text
+        self.owner_by_place: dict[str, str] = {}
+
+    def claim(self, place: str, owner: str, path: str) -> Iterator[Problem]:
+        """Yield a problem if the address has an owner already."""
+        known = self.owner_by_place.setdefault(place, owner)
+        if known != owner:
+            text = self.text.format(endpoint=place, owner=known)
+            yield Problem(path, text)
+
+
+def collect_services(paths: Sequence[str]) -> Configuration:
+    """Read service files; raise SERVICE_INVALID with every problem."""
+    problems: list[Problem] = []
+    specs: list[ServiceSpec] = []
+    for path in paths:
+        spec, found = decode_checked(read_json(path), ServiceSpec)
+        problems.extend(_prefix(path, found))
+        if spec is not None:
+            problems.extend(_prefix(path, _check_addresses(spec)))
+            specs.append(spec)
+    problems.extend(find_conflicts(specs))
+    if not paths:
+        problems.append(Problem('$', messages.NO_SERVICE_FILES))
+    if problems:
+        raise MarlbendError(
+            ErrorKind.SERVICE_INVALID,
+            'service files are wrong',
+            problems,
+        )
+    specs.sort(key=lambda spec: spec.service)
+    return Configuration(tuple(specs))
+
+
+def find_conflicts(specs: Iterable[ServiceSpec]) -> Iterator[Problem]:
+    """Yield what only shows when all services are seen together."""
+    names: set[str] = set()
+    endpoints = _Claims(messages.ENDPOINT_TWICE)
+    tunnels = _Claims(messages.UPSTREAM_TWICE)
+    for spec in specs:
+        if spec.service in names:
+            text = messages.SERVICE_TWICE.format(name=spec.service)
+            yield Problem(spec.service, text)
+        names.add(spec.service)
+        for address in spec.addresses:
+            for port in spec.ports:
+                yield from endpoints.claim(
+                    f'{address}:{port}', spec.service, spec.service
+                )
+        for upstream in spec.upstreams:
+            yield from tunnels.claim(
+                upstream.address, spec.service, f'{spec.service}.upstreams'
+            )
+
+
+def _check_addresses(spec: ServiceSpec) -> Iterator[Problem]:
+    for position, address in enumerate(spec.addresses):
+        yield from check_address(address, f'$.addresses[{position}]')
+    for place, upstream in enumerate(spec.upstreams):
+        yield from check_address(
+            upstream.address, f'$.upstreams[{place}].address'
+        )
+
+
+def _prefix(path: str, problems: Iterable[Problem]) -> Iterator[Problem]:
+    for problem in problems:
+        yield Problem(f'{path}: {problem.path}', problem.text)
--- /dev/null
+++ b/marlbend/events.py
@@ -0,0 +1,52 @@
+"""Number every log event.
+
+Operators search logs by number, so a number never changes its meaning.
+docs/events.md lists the same events; a test compares the two.
+"""
+
+import enum
+import logging
+from typing import Final, final
+
+__all__ = ('Event', 'emit')
+
+_LOGGER: Final = logging.getLogger('marlbend')
+
+
+@enum.unique
+@final
+class Event(enum.Enum):
+    """List the events: number, level and text."""
+
+    STARTED = (100, logging.INFO, 'instance {name} {version} started')
+    STATE_CHANGED = (101, logging.INFO, 'state is {state}')
+    STOP_ASKED = (102, logging.INFO, 'graceful shutdown asked')
+    STOPPED = (103, logging.INFO, 'stopped with {flows} flows left')
+    START_FAILED = (104, logging.ERROR, '{error}')
+    CONFIG_IN_FORCE = (200, logging.INFO, 'configuration {version} in force')
+    CONFIG_REFUSED = (201, logging.ERROR, 'configuration refused: {error}')
+    CONFIG_STALE = (
+        202,
+        logging.WARNING,
+        'configuration {version} ignored, {current} is in force',
+    )
+    PLATFORM_LOST = (300, logging.WARNING, 'platform lost: {error}')
+    PLATFORM_BACK = (301, logging.INFO, 'platform answers again')
+    VIEW_CHANGED = (400, logging.INFO, 'view {version}: {members}')
+    PEER_SILENT = (401, logging.WARNING, 'peer {name} did not acknowledge')
+    HANDOVER_SENT = (500, logging.INFO, '{flows} flows handed over to {name}')
+    HANDOVER_TAKEN = (501, logging.INFO, '{flows} flows taken from {name}')
+    HANDOVER_FAILED = (502, logging.WARNING, 'hand-over failed: {error}')
+
+    def __init__(self, number: int, level: int, text: str) -> None:
+        """Name the three parts of an event."""
+        self.number = number
+        self.level = level
+        self.text = text
+
+
+def emit(event: Event, **fields: object) -> None:
+    """Write one event to the log with its number in front."""
+    if _LOGGER.isEnabledFor(event.level):
+        text = event.text.format(**fields)
+        _LOGGER.log(event.level, 'E%03d %s', event.number, text)
--- /dev/null
+++ b/marlbend/flows/handover.py
@@ -0,0 +1,102 @@
+"""Find the flows that have a new home, and take those that others give.
+
+After each change of view or configuration an instance looks through its table
+for flows whose home is now another instance.  They are sent in groups of equal
+upstream and phase; once the new home has confirmed them they are removed here.
+"""
+
+from collections import defaultdict
+from collections.abc import Callable, Iterator, Sequence
+from typing import Final
+
+from marlbend.config import ActiveConfig, Service
+from marlbend.flows.table import (
+    FlowTable,
+    entry_phase,
+    entry_upstream,
+    iterate_shard,
+    record_flow,
+    remove_flow,
+)
+from marlbend.members import Member
+from marlbend.wire.messages import FlowGroup
+
+__all__ = (
+    'HomeOf',
+    'Moves',
+    'find_moves',
+    'forget_flows',
+    'group_flows',
+    'take_groups',
+)
+
+HomeOf = Callable[[Service, int], Member | None]
+Moves = dict[str, list[int]]
+
+# A message stays far below the limit of the transport.
+GROUP_FLOWS: Final = 4000
+
+
+def find_moves(
+    active: ActiveConfig,
+    table: FlowTable,
+    shard: int,
+    home_of: HomeOf,
+) -> Moves:
+    """Return the digests of one shard that moved, by name of their home."""
+    moves: Moves = defaultdict(list)
+    for digest, entry in iterate_shard(table, shard):
+        upstream = active.pool.by_number[entry_upstream(entry)]
+        service = active.service_by_name.get(upstream.service)
+        if service is None:
+            continue
+        home = home_of(service, digest)
+        if home is not None:
+            moves[home.name].append(digest)
+    return moves
+
+
+def group_flows(
+    active: ActiveConfig,
+    table: FlowTable,
+    digests: Sequence[int],
+) -> Iterator[FlowGroup]:
+    """Yield the flows that are still known, grouped for sending."""
+    by_kind: dict[tuple[int, int], list[int]] = defaultdict(list)
+    for digest in digests:
+        entry = table.find(digest)
+        if entry is not None:
+            kind = (entry_upstream(entry), entry_phase(entry))
+            by_kind[kind].append(digest)
+    for (number, phase), members in by_kind.items():
+        upstream = active.pool.by_number[number]
+        address, port = upstream.tunnel
+        for start in range(0, len(members), GROUP_FLOWS):
+            chunk = tuple(members[start : start + GROUP_FLOWS])
+            yield FlowGroup(upstream.service, address, port, phase, chunk)
+
+
+def take_groups(
+    active: ActiveConfig,
+    table: FlowTable,
+    groups: Sequence[FlowGroup],
+    tick: int,
+) -> int:
+    """Record flows given by another instance; return how many were new.
+
+    A flow known here already is kept as it is: it may have moved on.
+    """
+    taken = 0
+    for group in groups:
+        upstream = active.pool.intern(group.service, group.address, group.port)
+        for digest in group.digests:
+            if table.find(digest) is None:
+                record_flow(table, digest, upstream.number, group.phase, tick)
+                taken += 1
+    return taken
+
+
+def forget_flows(table: FlowTable, digests: Sequence[int]) -> None:
+    """Remove flows that their new home has confirmed."""
+    for digest in digests:
+        remove_flow(table, digest)
--- /dev/null
+++ b/marlbend/hashing.py
@@ -0,0 +1,25 @@
+"""Hash texts and weigh hashes, the same way on every instance."""
+
+import math
+from typing import Final
+
+import xxhash
+
+__all__ = ('hash_text', 'weigh_hash')
+
+HASH_RANGE: Final = float(1 << 64)
+
+
+def hash_text(text: str) -> int:
+    """Return a 64-bit hash of a text."""
+    return xxhash.xxh3_64_intdigest(text.encode())
+
+
+def weigh_hash(hashed: int, weight: int) -> float:
+    """Return the score of a candidate in weighted rendezvous hashing.
+
+    The candidate with the highest score wins, each in proportion to its
+    weight.
+    """
+    fraction = (hashed + 1) / (HASH_RANGE + 2)
+    return -weight / math.log(fraction)
--- /dev/null
+++ b/marlbend/members/member.py
@@ -0,0 +1,41 @@
+"""Describe the instances of the system as the others see them."""
+
+import enum
+from typing import Final, final
+
+import msgspec
+
+__all__ = ('HOME_STATES', 'Member', 'MemberState')
+
+
+@enum.unique
+@final
+class MemberState(enum.IntEnum):
+    """Order the states of an instance; of equal incarnations the later wins."""
+
+    LIVE = 0
+    SUSPECT = 1
+    LEAVING = 2
+    GONE = 3
+
+
+# A suspect keeps its flows until it is known to be gone.
+HOME_STATES: Final = frozenset((MemberState.LIVE, MemberState.SUSPECT))
+
+
+class Member(msgspec.Struct, frozen=True, array_like=True):
+    """Describe one instance.
+
+    `incarnation` grows with each start of the instance (nanoseconds since
+    the epoch at its start, zero while only the platform has named it).
+    """
+
+    name: str
+    address: str
+    domain: str
+    fabric_port: int
+    relay_port: int
+    control_port: int
+    admin_port: int
+    incarnation: int = 0
+    state: MemberState = MemberState.LIVE
--- /dev/null
+++ b/marlbend/members/probe.py
@@ -0,0 +1,311 @@
+"""See which instances are alive, at constant cost for each instance.
+
+This is SWIM (Das, Gupta, Motivala 2002) as plain functions: every period an
+instance pings one other, in a shuffled round.  Without an acknowledgement it
+asks two others to ping for it, then suspects the instance and tells so; a
+suspect that hears of it raises its incarnation and is live again, one that
+stays silent is gone.  News travels on the pings and acknowledgements, each
+piece a limited number of times.
+
+Functions yield `Letter`s for the caller to send; time and randomness come
+from outside.
+"""
+
+import math
+from collections.abc import Iterator
+from random import Random
+from typing import Final, final
+
+import msgspec
+
+from marlbend.members.fleet import Fleet, apply_member
+from marlbend.members.member import HOME_STATES, Member, MemberState
+from marlbend.wire.liveness import Ack, Message, Ping, PingRequest
+
+__all__ = ('Letter', 'Prober', 'announce', 'receive_message', 'step')
+
+PERIOD_SECONDS: Final = 0.2
+ACK_SECONDS: Final = 0.25
+INDIRECT_SECONDS: Final = 0.35
+SUSPICION_SECONDS: Final = 0.8
+# A longer gap between two steps means that this process was paused.
+PAUSE_SECONDS: Final = 1.0
+INDIRECT_HELPERS: Final = 2
+NEWS_IN_MESSAGE: Final = 6
+NEWS_FACTOR: Final = 3
+
+Address = tuple[str, int]
+
+
+@final
+class Letter:
+    """Pair a message with the control address it goes to."""
+
+    __slots__ = ('address', 'message')
+
+    def __init__(self, address: Address, message: Message) -> None:
+        """Keep both."""
+        self.address = address
+        self.message = message
+
+
+@final
+class _Probe:
+    """Remember a ping that waits for its acknowledgement."""
+
+    __slots__ = ('deadline', 'direct', 'target')
+
+    def __init__(self, target: str, deadline: float) -> None:
+        self.target = target
+        self.deadline = deadline
+        self.direct = True
+
+
+@final
+class _Errand:
+    """Remember for whom a ping was sent, and under which number."""
+
+    __slots__ = ('address', 'deadline', 'sequence')
+
+    def __init__(
+        self,
+        address: Address,
+        sequence: int,
+        deadline: float,
+    ) -> None:
+        self.address = address
+        self.sequence = sequence
+        self.deadline = deadline
+
+
+@final
+class Prober:
+    """Hold what an instance needs to see the others.
+
+    `news_left_by_name` counts how often a record is still to be sent.
+    """
+
+    __slots__ = (
+        'errand_by_sequence',
+        'fleet',
+        'last_step',
+        'news_left_by_name',
+        'next_ping',
+        'probe_by_sequence',
+        'random',
+        'round',
+        'sequence',
+        'suspicion_by_name',
+    )
+
+    def __init__(self, fleet: Fleet, random: Random) -> None:
+        """Start without news; the first step pings."""
+        self.fleet = fleet
+        self.random = random
+        self.sequence = 0
+        self.last_step = 0.0
+        self.next_ping = 0.0
+        self.round: list[str] = []
+        self.probe_by_sequence: dict[int, _Probe] = {}
+        self.errand_by_sequence: dict[int, _Errand] = {}
+        self.suspicion_by_name: dict[str, float] = {}
+        self.news_left_by_name: dict[str, int] = {}
+
+
+def announce(prober: Prober, member: Member, now: float) -> bool:
+    """Merge a record and pass it on if it is news; tell if it was."""
+    if not apply_member(prober.fleet, member, now):
+        return False
+    members = len(prober.fleet.member_by_name)
+    prober.news_left_by_name[member.name] = NEWS_FACTOR * (
+        1 + math.ceil(math.log2(members + 1))
+    )
+    if member.state == MemberState.SUSPECT:
+        prober.suspicion_by_name[member.name] = now + SUSPICION_SECONDS
+    else:
+        prober.suspicion_by_name.pop(member.name, None)
+    return True
+
+
+def step(prober: Prober, now: float) -> Iterator[Letter]:
+    """Do what is due at `now`; call it several times in a period."""
+    if now - prober.last_step > PAUSE_SECONDS:
+        _forgive(prober, now)
+    prober.last_step = now
+    yield from _follow_probes(prober, now)
+    _bury_suspects(prober, now)
+    if now >= prober.next_ping:
+        prober.next_ping = now + PERIOD_SECONDS
+        yield from _ping_next(prober, now)
+
+
+def receive_message(
+    prober: Prober,
+    message: Message,
+    sender: Address,
+    now: float,
+) -> Iterator[Letter]:
+    """Take a message from a control address and yield the answers."""
+    for member in message.news:
+        _hear(prober, member, now)
+    if isinstance(message, Ping):
+        yield Letter(sender, Ack(message.sequence, _pick_news(prober)))
+    elif isinstance(message, Ack):
+        prober.probe_by_sequence.pop(message.sequence, None)
+        errand = prober.errand_by_sequence.pop(message.sequence, None)
+        if errand is not None:
+            yield Letter(errand.address, Ack(errand.sequence))
+    else:
+        yield from _run_errand(prober, message, sender, now)
+
+
+def _hear(prober: Prober, member: Member, now: float) -> None:
+    myself = prober.fleet.myself
+    if member.name != myself.name:
+        announce(prober, member, now)
+    elif _contradicts(myself, member):
+        refuted = msgspec.structs.replace(
+            myself, incarnation=member.incarnation + 1
+        )
+        announce(prober, refuted, now)
+
+
+def _contradicts(myself: Member, heard: Member) -> bool:
+    if heard.incarnation > myself.incarnation:
+        return True
+    return (
+        heard.incarnation == myself.incarnation and heard.state > myself.state
+    )
+
+
+def _forgive(prober: Prober, now: float) -> None:
+    """Suspect nobody for a silence that was this process's own."""
+    prober.probe_by_sequence.clear()
+    for name in prober.suspicion_by_name:
+        prober.suspicion_by_name[name] = now + SUSPICION_SECONDS
+
+
+def _ping_next(prober: Prober, now: float) -> Iterator[Letter]:
+    target = _next_target(prober)
+    if target is None:
+        return
+    prober.sequence += 1
+    prober.probe_by_sequence[prober.sequence] = _Probe(
+        target.name, now + ACK_SECONDS
+    )
+    news = _pick_news(prober)
+    if target.state == MemberState.SUSPECT and target not in news:
+        news = (*news, target)
+    yield Letter(_control(target), Ping(prober.sequence, news))
+
+
+def _next_target(prober: Prober) -> Member | None:
+    for _ in range(len(prober.fleet.member_by_name) + 1):
+        if not prober.round:
+            prober.round = _shuffled_names(prober)
+        if not prober.round:
+            return None
+        member = prober.fleet.member_by_name[prober.round.pop()]
+        if member.state in HOME_STATES:
+            return member
+    return None
+
+
+def _shuffled_names(prober: Prober) -> list[str]:
+    names = [
+        member.name
+        for member in prober.fleet.member_by_name.values()
+        if member.state in HOME_STATES
+        and member.name != prober.fleet.myself.name
+    ]
+    prober.random.shuffle(names)
+    return names
+
+
+def _follow_probes(prober: Prober, now: float) -> Iterator[Letter]:
+    overdue = [
+        sequence
+        for sequence, probe in prober.probe_by_sequence.items()
+        if probe.deadline <= now
+    ]
+    for sequence in overdue:
+        probe = prober.probe_by_sequence[sequence]
+        if probe.direct:
+            probe.direct = False
+            probe.deadline = now + INDIRECT_SECONDS
+            yield from _ask_helpers(prober, sequence, probe.target)
+        else:
+            prober.probe_by_sequence.pop(sequence)
+            _suspect(prober, probe.target, now)
+    _drop_errands(prober, now)
+
+
+def _ask_helpers(
+    prober: Prober,
+    sequence: int,
+    target: str,
+) -> Iterator[Letter]:
+    names = [name for name in _shuffled_names(prober) if name != target]
+    for name in names[:INDIRECT_HELPERS]:
+        helper = prober.fleet.member_by_name[name]
+        request = PingRequest(sequence, target, _pick_news(prober))
+        yield Letter(_control(helper), request)
+
+
+def _run_errand(
+    prober: Prober,
+    request: PingRequest,
+    sender: Address,
+    now: float,
+) -> Iterator[Letter]:
+    target = prober.fleet.member_by_name.get(request.target)
+    if target is None:
+        return
+    prober.sequence += 1
+    prober.errand_by_sequence[prober.sequence] = _Errand(
+        sender, request.sequence, now + INDIRECT_SECONDS
+    )
+    yield Letter(_control(target), Ping(prober.sequence, _pick_news(prober)))
+
+
+def _drop_errands(prober: Prober, now: float) -> None:
+    prober.errand_by_sequence = {
+        sequence: errand
+        for sequence, errand in prober.errand_by_sequence.items()
+        if errand.deadline > now
+    }
+
+
+def _suspect(prober: Prober, name: str, now: float) -> None:
+    member = prober.fleet.member_by_name[name]
+    if member.state == MemberState.LIVE:
+        suspect = msgspec.structs.replace(member, state=MemberState.SUSPECT)
+        announce(prober, suspect, now)
+
+
+def _bury_suspects(prober: Prober, now: float) -> None:
+    overdue = [
+        name
+        for name, deadline in prober.suspicion_by_name.items()
+        if deadline <= now
+    ]
+    for name in overdue:
+        member = prober.fleet.member_by_name[name]
+        gone = msgspec.structs.replace(member, state=MemberState.GONE)
+        announce(prober, gone, now)
+
+
+def _pick_news(prober: Prober) -> tuple[Member, ...]:
+    """Take the records that were sent least often so far."""
+    left = prober.news_left_by_name
+    names = sorted(left, key=left.__getitem__, reverse=True)
+    picked = names[:NEWS_IN_MESSAGE]
+    for name in picked:
+        left[name] -= 1
+        if not left[name]:
+            left.pop(name)
+    return tuple(prober.fleet.member_by_name[name] for name in picked)
+
+
+def _control(member: Member) -> Address:
+    return member.address, member.control_port
--- /dev/null
+++ b/marlbend/observe/status.py
@@ -0,0 +1,88 @@
+"""Describe an instance for the command-line tool."""
+
+import time
+from collections import Counter
+from collections.abc import Iterator
+
+from marlbend import VERSION
+from marlbend.flows.table import CLOSING, ESTABLISHED, HALF_OPEN
+from marlbend.instance import Instance
+from marlbend.members import Fleet
+from marlbend.observe.metrics import (
+    Metrics,
+    processor_seconds,
+    resident_bytes,
+)
+from marlbend.packets import Outcome, PacketPath
+from marlbend.wire.messages import MemberStatus, Status
+
+__all__ = ('describe_instance',)
+
+
+def describe_instance(instance: Instance, metrics: Metrics) -> Status:
+    """Return the status of an instance at this moment."""
+    path = instance.path
+    phases = path.table.count_by_phase
+    return Status(
+        name=path.fleet.myself.name,
+        domain=path.fleet.myself.domain,
+        program_version=VERSION,
+        state=str(instance.lifecycle.state),
+        config_version=path.active.version,
+        config_age_seconds=time.monotonic() - instance.config_since,
+        view_version=path.fleet.version,
+        members=tuple(_describe_members(path.fleet)),
+        packets=_count_packets(path),
+        relay_share=_relay_share(path),
+        decision_p50_us=metrics.decision_us(50),
+        decision_p99_us=metrics.decision_us(99),
+        open_flows=phases[ESTABLISHED],
+        half_open_flows=phases[HALF_OPEN],
+        closing_flows=phases[CLOSING],
+        flows_by_upstream=_count_flows(path),
+        control_bytes_sent=metrics.control_sent,
+        control_bytes_received=metrics.control_received,
+        control_malformed=metrics.control_malformed,
+        processor_seconds=processor_seconds(),
+        resident_bytes=resident_bytes(),
+    )
+
+
+def _describe_members(fleet: Fleet) -> Iterator[MemberStatus]:
+    slots = Counter(
+        owner.name
+        for table in fleet.slots_by_domain.values()
+        for owner in table.owners
+        if owner is not None
+    )
+    for name in sorted(fleet.member_by_name):
+        member = fleet.member_by_name[name]
+        yield MemberStatus(
+            name=name,
+            domain=member.domain,
+            state=member.state.name.lower(),
+            home_share=slots[name] / fleet.slot_count,
+        )
+
+
+def _count_packets(path: PacketPath) -> dict[str, int]:
+    return {
+        outcome.name.lower(): path.counts[outcome]
+        for outcome in Outcome
+        if path.counts[outcome]
+    }
+
+
+def _relay_share(path: PacketPath) -> float:
+    relayed = path.counts[Outcome.RELAYED]
+    handled = relayed + path.counts[Outcome.FORWARDED]
+    return relayed / handled if handled else 0.0
+
+
+def _count_flows(path: PacketPath) -> dict[str, int]:
+    named = {}
+    for number, flows in path.table.open_by_number.items():
+        upstream = path.active.pool.by_number[number]
+        address, port = upstream.tunnel
+        named[f'{upstream.service}/{address}:{port}'] = flows
+    return named
--- /dev/null
+++ b/marlbend/options.py
@@ -0,0 +1,83 @@
+"""Load and check the settings of one instance.
+
+Settings are a JSON file.  Every problem in it is reported at once, with its
+path inside the file.
+"""
+
+from collections.abc import Iterator
+from typing import Annotated, Final
+
+import msgspec
+
+from marlbend import messages
+from marlbend.checking import check_address, decode_checked, read_json
+from marlbend.errorcodes import ErrorKind
+from marlbend.errors import MarlbendError, Problem
+
+__all__ = ('Limits', 'Ports', 'Settings', 'load_settings')
+
+Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
+Name = Annotated[str, msgspec.Meta(pattern='^[a-z][a-z0-9-]{0,62}$')]
+Seconds = Annotated[float, msgspec.Meta(gt=0, le=86400)]
+LogLevel = Annotated[str, msgspec.Meta(pattern='^(DEBUG|INFO|WARNING|ERROR)$')]
+
+_DEFAULT_DATA_PORT: Final = 6080
+_DEFAULT_RELAY_PORT: Final = 6081
+_DEFAULT_CONTROL_PORT: Final = 6082
+_DEFAULT_ADMIN_PORT: Final = 6083
+
+
+class Ports(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Give the ports of an instance, the same for the whole deployment."""
+
+    fabric: Port = _DEFAULT_DATA_PORT
+    relay: Port = _DEFAULT_RELAY_PORT
+    control: Port = _DEFAULT_CONTROL_PORT
+    admin: Port = _DEFAULT_ADMIN_PORT
+
+
+class Limits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Bound what an instance holds and how long it holds it.
+
+    `flows` and `half_open` count flows; the rest is in seconds.
+    """
+
+    flows: Annotated[int, msgspec.Meta(ge=1, le=4_000_000)] = 400_000
+    half_open: Annotated[int, msgspec.Meta(ge=1, le=4_000_000)] = 50_000
+    idle_seconds: Seconds = 900
+    half_open_seconds: Seconds = 10
+    closing_seconds: Seconds = 30
+    stop_seconds: Seconds = 20
+
+
+class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Describe one instance: who it is, where it listens, whom it asks."""
+
+    name: Name
+    address: str
+    domain: Name
+    platform: Annotated[str, msgspec.Meta(pattern='^https?://')]
+    ports: Ports = Ports()
+    limits: Limits = Limits()
+    log_level: LogLevel = 'INFO'
+
+
+def load_settings(path: str) -> Settings:
+    """Read a settings file; raise SETTINGS_INVALID with every problem."""
+    settings, problems = decode_checked(read_json(path), Settings)
+    if settings is not None:
+        problems.extend(_check_settings(settings))
+    if settings is None or problems:
+        raise MarlbendError(ErrorKind.SETTINGS_INVALID, path, problems)
+    return settings
+
+
+def _check_settings(settings: Settings) -> Iterator[Problem]:
+    yield from check_address(settings.address, '$.address')
+    seen: set[int] = set()
+    for name in settings.ports.__struct_fields__:
+        port = getattr(settings.ports, name)
+        if port in seen:
+            text = messages.PORTS_EQUAL.format(port=port)
+            yield Problem(f'$.ports.{name}', text)
+        seen.add(port)
--- /dev/null
+++ b/marlbend/packets/outcomes.py
@@ -0,0 +1,31 @@
+"""Name what can become of a packet; metrics count by these names."""
+
+import enum
+from typing import final
+
+__all__ = ('Outcome',)
+
+
+@enum.unique
+@final
+class Outcome(enum.IntEnum):
+    """List the outcomes; the number is an index into the counters."""
+
+    ACCEPTED = 0
+    FORWARDED = 1
+    RELAYED = 2
+    CHASED = 3
+    RETURNED = 4
+    DROPPED_TRUNCATED = 5
+    DROPPED_MALFORMED = 6
+    DROPPED_OPTIONS = 7
+    DROPPED_FRAGMENT = 8
+    DROPPED_PROTOCOL = 9
+    DROPPED_NO_SERVICE = 10
+    DROPPED_NO_UPSTREAM = 11
+    DROPPED_NO_HOME = 12
+    DROPPED_HOP_LIMIT = 13
+    DROPPED_UNKNOWN_PEER = 14
+    DROPPED_RELAY_HEADER = 15
+    DROPPED_FULL = 16
+    DROPPED_SEND = 17
--- /dev/null
+++ b/marlbend/packets/path.py
@@ -0,0 +1,318 @@
+"""Decide what becomes of each packet: the whole path in one place.
+
+The fabric hands a packet to any instance.  That instance, the entry, looks
+the service up by exact address and port and forwards the packet if it holds
+the flow itself.  Otherwise it relays the packet to the flow's home (HOME).
+
+The home forwards a packet of a flow it knows.  A packet of a flow it does not
+know may belong to a flow that lived at the previous home of its slot, because
+the view has changed lately.  So the home first sends it there (CHASE): the
+previous home forwards what it knows, and returns what it does not (DECIDE).
+Then the home decides on its own: a SYN starts a flow on the upstream chosen,
+any other packet goes to the default upstream of its digest, which is where
+the flow lives unless load had moved it.
+
+Views differ for a while after each change, so a packet may be relayed to an
+instance that no longer thinks it is the home; it relays the packet on, and a
+limit on hops ends every loop.
+
+Nothing here touches a socket or a clock: the senders and the time come from
+outside.
+"""
+
+from collections.abc import Callable
+from typing import Final, final
+
+from marlbend.config import ActiveConfig, Service
+from marlbend.flows import FlowTable, choose_default, choose_upstream
+from marlbend.flows.table import (
+    CLOSING,
+    ESTABLISHED,
+    HALF_OPEN,
+    PHASE_MASK,
+    PHASE_SHIFT,
+    UPSTREAM_MASK,
+    record_flow,
+    set_phase,
+    touch_flow,
+)
+from marlbend.members import Fleet, Member, home_of, previous_home
+from marlbend.packets.header import (
+    ACK,
+    FIN,
+    RST,
+    SYN,
+    endpoint_key,
+    flow_digest,
+    judge_packet,
+    packet_flags,
+)
+from marlbend.packets.outcomes import Outcome
+from marlbend.upstreams import Upstream
+from marlbend.wire.relay import (
+    HEADER_BYTES,
+    HOP_LIMIT,
+    RelayKind,
+    frame,
+    read_frame,
+)
+
+__all__ = ('PacketPath', 'Senders', 'make_receivers')
+
+_HOME: Final = int(RelayKind.HOME)
+_CHASE: Final = int(RelayKind.CHASE)
+_DECIDE: Final = int(RelayKind.DECIDE)
+_FIRST_HOP: Final = 1
+_SPECIAL_FLAGS: Final = SYN | FIN | RST
+
+Address = tuple[str, int]
+Send = Callable[[bytes, Address], None]
+
+
+@final
+class Senders:
+    """Hold the two ways out: to an upstream's tunnel and to a peer."""
+
+    __slots__ = ('forward', 'relay')
+
+    def __init__(self, forward: Send, relay: Send) -> None:
+        """Keep the functions that send a datagram to an address."""
+        self.forward = forward
+        self.relay = relay
+
+
+@final
+class PacketPath:
+    """Hold the state that decisions read and write.
+
+    `now` is monotonic seconds and `tick` the same in whole seconds; the
+    daemon moves them once a second, which is exact enough for timeouts.
+    """
+
+    __slots__ = (
+        'active',
+        'counts',
+        'fleet',
+        'half_open_limit',
+        'now',
+        'senders',
+        'table',
+        'tick',
+    )
+
+    def __init__(
+        self,
+        active: ActiveConfig,
+        fleet: Fleet,
+        table: FlowTable,
+        senders: Senders,
+        half_open_limit: int,
+    ) -> None:
+        """Wire the parts; counters start at zero."""
+        self.active = active
+        self.fleet = fleet
+        self.table = table
+        self.senders = senders
+        self.half_open_limit = half_open_limit
+        self.counts = [0] * len(Outcome)
+        self.now = 0.0
+        self.tick = 0
+
+
+def make_receivers(
+    path: PacketPath,
+) -> tuple[Callable[[bytes], None], Callable[[bytes, Address], None]]:
+    """Return the functions that take fabric packets and relayed packets."""
+
+    def receive_fabric(packet: bytes) -> None:
+        service = _find_service(path, packet)
+        if service is not None:
+            _enter(path, packet, service, _HOME, 0)
+
+    def receive_relay(datagram: bytes, sender: Address) -> None:
+        peer = path.fleet.member_by_relay.get(sender)
+        if peer is None:
+            path.counts[Outcome.DROPPED_UNKNOWN_PEER] += 1
+            return
+        head = read_frame(datagram)
+        if head is None:
+            path.counts[Outcome.DROPPED_RELAY_HEADER] += 1
+            return
+        packet = datagram[HEADER_BYTES:]
+        service = _find_service(path, packet)
+        if service is None:
+            return
+        if head[0] == _CHASE:
+            _answer_chase(path, packet, service, head[1], peer)
+        else:
+            _enter(path, packet, service, *head)
+
+    return receive_fabric, receive_relay
+
+
+def _find_service(path: PacketPath, packet: bytes) -> Service | None:
+    outcome = judge_packet(packet)
+    if outcome != Outcome.ACCEPTED:
+        path.counts[outcome] += 1
+        return None
+    service = path.active.service_by_endpoint.get(endpoint_key(packet))
+    if service is None:
+        path.counts[Outcome.DROPPED_NO_SERVICE] += 1
+    return service
+
+
+def _enter(
+    path: PacketPath,
+    packet: bytes,
+    service: Service,
+    kind: int,
+    hops: int,
+) -> None:
+    digest = flow_digest(packet)
+    if _forward_known(path, packet, service, digest):
+        return
+    home = home_of(path.fleet, service, digest)
+    if home is None:
+        path.counts[Outcome.DROPPED_NO_HOME] += 1
+    elif home is not path.fleet.myself:
+        path.counts[Outcome.RELAYED] += 1
+        _relay(path, packet, kind, hops, home)
+    elif kind == _DECIDE:
+        _decide(path, packet, service, digest)
+    else:
+        _chase_or_decide(path, packet, service, digest, hops)
+
+
+def _chase_or_decide(
+    path: PacketPath,
+    packet: bytes,
+    service: Service,
+    digest: int,
+    hops: int,
+) -> None:
+    previous = previous_home(path.fleet, service, digest, path.now)
+    if previous is None or hops + 2 > HOP_LIMIT:
+        _decide(path, packet, service, digest)
+    else:
+        path.counts[Outcome.CHASED] += 1
+        _relay(path, packet, _CHASE, hops, previous)
+
+
+def _answer_chase(
+    path: PacketPath,
+    packet: bytes,
+    service: Service,
+    hops: int,
+    peer: Member,
+) -> None:
+    digest = flow_digest(packet)
+    if _forward_known(path, packet, service, digest):
+        return
+    previous = previous_home(path.fleet, service, digest, path.now)
+    if previous is None or previous is peer or hops + 3 > HOP_LIMIT:
+        path.counts[Outcome.RETURNED] += 1
+        _relay(path, packet, _DECIDE, hops, peer)
+    else:
+        path.counts[Outcome.CHASED] += 1
+        _relay(path, packet, _CHASE, hops, previous)
+
+
+def _relay(
+    path: PacketPath,
+    packet: bytes,
+    kind: int,
+    hops: int,
+    target: Member,
+) -> None:
+    if hops >= HOP_LIMIT:
+        path.counts[Outcome.DROPPED_HOP_LIMIT] += 1
+        return
+    path.senders.relay(
+        frame(kind, hops + _FIRST_HOP) + packet,
+        (target.address, target.relay_port),
+    )
+
+
+def _forward_known(
+    path: PacketPath,
+    packet: bytes,
+    service: Service,
+    digest: int,
+) -> bool:
+    """Forward a packet of a known flow; tell if it was known.
+
+    An entry whose upstream serves another service can only come from two
+    flows with one digest; it is not used.
+    """
+    entry = path.table.find(digest)
+    if entry is None:
+        return False
+    upstream = path.active.pool.by_number[entry & UPSTREAM_MASK]
+    if upstream.service != service.name:
+        return False
+    flags = packet_flags(packet)
+    phase = (entry >> PHASE_SHIFT) & PHASE_MASK
+    if flags & _SPECIAL_FLAGS or phase == HALF_OPEN:
+        if phase == CLOSING and flags & SYN:
+            return False
+        _follow_flags(path, digest, flags, phase)
+    else:
+        touch_flow(path.table, digest, entry, path.tick)
+    _forward(path, packet, upstream)
+    return True
+
+
+def _follow_flags(
+    path: PacketPath,
+    digest: int,
+    flags: int,
+    phase: int,
+) -> None:
+    if flags & (FIN | RST):
+        set_phase(path.table, digest, CLOSING, path.tick)
+    elif phase == HALF_OPEN and not flags & SYN:
+        set_phase(path.table, digest, ESTABLISHED, path.tick)
+
+
+def _decide(
+    path: PacketPath,
+    packet: bytes,
+    service: Service,
+    digest: int,
+) -> None:
+    flags = packet_flags(packet)
+    if flags & SYN and not flags & ACK:
+        upstream = _start_flow(path, service, digest)
+    else:
+        upstream = choose_default(digest, service.accepting)
+    if upstream is None:
+        path.counts[Outcome.DROPPED_NO_UPSTREAM] += 1
+    else:
+        _forward(path, packet, upstream)
+
+
+def _start_flow(
+    path: PacketPath,
+    service: Service,
+    digest: int,
+) -> Upstream | None:
+    """Choose the upstream of a new flow and record it.
+
+    A flood of SYNs fills the half-open share of the table; beyond it the
+    default needs no entry, since it can be computed again.
+    """
+    table = path.table
+    if (
+        table.count_by_phase[HALF_OPEN] >= path.half_open_limit
+        or len(table) >= table.limit
+    ):
+        return choose_default(digest, service.accepting)
+    upstream = choose_upstream(digest, service.accepting, table.open_by_number)
+    if upstream is not None:
+        record_flow(table, digest, upstream.number, HALF_OPEN, path.tick)
+    return upstream
+
+
+def _forward(path: PacketPath, packet: bytes, upstream: Upstream) -> None:
+    path.counts[Outcome.FORWARDED] += 1
+    path.senders.forward(packet, upstream.tunnel)
--- /dev/null
+++ b/marlbend/wire/rpc.py
@@ -0,0 +1,126 @@
+"""Carry typed messages over gRPC with MessagePack as the codec.
+
+gRPC lets each method bring its own serializer, so the messages of
+`marlbend.wire.messages` travel as they are and no generated code is needed.
+"""
+
+from collections.abc import Awaitable, Callable
+from typing import Any, Final, TypeVar
+
+import grpc
+import msgspec
+
+from marlbend import messages as texts
+from marlbend.errorcodes import ErrorKind
+from marlbend.errors import MarlbendError
+from marlbend.wire.messages import (
+    HandOver,
+    HandOverReply,
+    Status,
+    StatusRequest,
+)
+
+__all__ = ('call_hand_over', 'call_status', 'start_server')
+
+_Request = TypeVar('_Request', bound=msgspec.Struct)
+_Reply = TypeVar('_Reply', bound=msgspec.Struct)
+
+SERVICE_NAME: Final = 'marlbend.Instance'
+STATUS_METHOD: Final = 'Status'
+HAND_OVER_METHOD: Final = 'HandOver'
+CALL_TIMEOUT_SECONDS: Final = 3.0
+
+_OPTIONS: Final = (
+    ('grpc.so_reuseport', 0),
+    ('grpc.enable_http_proxy', 0),
+    ('grpc.max_receive_message_length', 1 << 22),
+)
+_encode: Final = msgspec.msgpack.encode
+
+
+async def start_server(
+    address: str,
+    port: int,
+    on_status: Callable[[StatusRequest], Awaitable[Status]],
+    on_hand_over: Callable[[HandOver], Awaitable[HandOverReply]],
+) -> grpc.aio.Server:
+    """Serve both methods; raise ADDRESS_IN_USE if the port is taken."""
+    server = grpc.aio.server(options=_OPTIONS)
+    handlers: dict[str, grpc.RpcMethodHandler[Any, Any]] = {
+        STATUS_METHOD: _handler(on_status, StatusRequest),
+        HAND_OVER_METHOD: _handler(on_hand_over, HandOver),
+    }
+    server.add_generic_rpc_handlers(
+        (grpc.method_handlers_generic_handler(SERVICE_NAME, handlers),)
+    )
+    try:
+        server.add_insecure_port(f'{address}:{port}')
+    except RuntimeError:
+        raise MarlbendError(
+            ErrorKind.ADDRESS_IN_USE,
+            texts.ADDRESS_IN_USE.format(address=address, port=port),
+        ) from None
+    await server.start()
+    return server
+
+
+async def call_status(address: str, port: int, name: str) -> Status:
+    """Ask an instance for its status; raise INSTANCE_UNREACHABLE."""
+    return await _call(
+        f'{address}:{port}', name, STATUS_METHOD, StatusRequest(), Status
+    )
+
+
+async def call_hand_over(
+    address: str,
+    port: int,
+    name: str,
+    message: HandOver,
+) -> HandOverReply:
+    """Give flows to an instance; raise INSTANCE_UNREACHABLE."""
+    return await _call(
+        f'{address}:{port}', name, HAND_OVER_METHOD, message, HandOverReply
+    )
+
+
+async def _call(
+    target: str,
+    name: str,
+    method: str,
+    request: msgspec.Struct,
+    reply_type: type[_Reply],
+) -> _Reply:
+    async with grpc.aio.insecure_channel(target, options=_OPTIONS) as channel:
+        call = channel.unary_unary(
+            f'/{SERVICE_NAME}/{method}',
+            request_serializer=_encode,
+            response_deserializer=_decoder(reply_type),
+        )
+        try:
+            return await call(request, timeout=CALL_TIMEOUT_SECONDS)
+        except grpc.aio.AioRpcError:
+            raise MarlbendError(
+                ErrorKind.INSTANCE_UNREACHABLE,
+                texts.INSTANCE_UNREACHABLE.format(name=name, target=target),
+            ) from None
+
+
+def _decoder(shape: type[_Reply]) -> Callable[[bytes], _Reply]:
+    return msgspec.msgpack.Decoder(shape).decode
+
+
+def _handler(
+    answer: Callable[[_Request], Awaitable[_Reply]],
+    shape: type[_Request],
+) -> 'grpc.RpcMethodHandler[_Request, _Reply]':
+    async def serve(
+        request: _Request,
+        context: 'grpc.aio.ServicerContext[_Request, _Reply]',
+    ) -> _Reply:
+        return await answer(request)
+
+    return grpc.unary_unary_rpc_method_handler(
+        serve,
+        request_deserializer=_decoder(shape),
+        response_serializer=_encode,
+    )
