--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -4,19 +4,26 @@
 import asyncio
 import sys
 from collections.abc import Callable, Coroutine, Mapping
+from types import MappingProxyType
 from typing import Final
 
 import msgspec
 
+from bench.cost import run_cost
+from bench.demo import DemoReport, run_demo
 from bench.steady import run_steady
 
 __all__ = ('run',)
 
 Measurement = Callable[[int], Coroutine[None, None, msgspec.Struct]]
 
-MEASUREMENTS: Final[Mapping[str, Measurement]] = {
-    'steady': run_steady,
-}
+MEASUREMENTS: Final[Mapping[str, Measurement]] = MappingProxyType(
+    {
+        'cost': run_cost,
+        'demo': run_demo,
+        'steady': run_steady,
+    }
+)
 
 
 def run() -> None:
@@ -32,7 +39,10 @@
     if not arguments.json:
         for key, figure in msgspec.to_builtins(report).items():
             sys.stdout.write(f'{key}: {figure}\n')
-    sys.stdout.write(f'{msgspec.json.encode(report).decode()}\n')
+    encoded = msgspec.json.encode(report).decode()
+    sys.stdout.write(f'{encoded}\n')
+    if isinstance(report, DemoReport) and not report.is_good():
+        sys.exit(1)
 
 
 if __name__ == '__main__':
--- a/bench/callers.py
+++ b/bench/callers.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import socket
+import time
 from collections.abc import Iterator, Sequence
 from random import Random
 from typing import Final, final
@@ -25,7 +26,16 @@
 from bench.upstreams import ANSWER_SEGMENTS
 from marlbend.packets.receive import open_socket, start_reading
 
-__all__ = ('Callers', 'Fabric', 'Flow', 'FlowPlan', 'open_hosts', 'run_flow')
+__all__ = (
+    'Callers',
+    'Fabric',
+    'Flow',
+    'FlowPlan',
+    'close_hosts',
+    'open_flows',
+    'open_hosts',
+    'run_flow',
+)
 
 RETRY_SECONDS: Final = 0.4
 ATTEMPTS: Final = 12
@@ -63,7 +73,7 @@
     """Hold what a caller knows of one of its flows.
 
     `fault` tells why it is broken; `answers` holds the parts received of the
-    request under way.
+    request under way; `opened_at` is monotonic time in seconds.
     """
 
     __slots__ = (
@@ -72,6 +82,7 @@
         'closed',
         'fault',
         'opened',
+        'opened_at',
         'payload',
         'plan',
         'source',
@@ -87,6 +98,7 @@
         self.payload = b''
         self.upstream = ''
         self.opened = False
+        self.opened_at: float = 0
         self.closed = False
         self.fault = ''
 
@@ -132,9 +144,18 @@
         start_reading(own_socket, receive)
 
 
+def close_hosts(callers: Callers) -> None:
+    """Stop reading and close the sockets of the callers' hosts."""
+    loop = asyncio.get_running_loop()
+    for own_socket in callers.sockets.values():
+        loop.remove_reader(own_socket)
+        own_socket.close()
+
+
 async def run_flow(callers: Callers, flow: Flow) -> None:
     """Open a flow, send its requests, close it."""
     flow.opened = await _exchange(callers, flow, tcp.TH_SYN, b'')
+    flow.opened_at = time.monotonic()
     if not flow.opened:
         flow.fault = flow.fault or 'not opened'
         return
@@ -175,15 +196,19 @@
     )
     for _ in range(ATTEMPTS):
         _spray(callers, flow, packet)
-        try:
-            async with asyncio.timeout(RETRY_SECONDS):
-                await flow.arrived.wait()
-        except TimeoutError:
-            continue
-        return not flow.fault
+        if await _wait_for_answer(flow):
+            return not flow.fault
     return False
 
 
+async def _wait_for_answer(flow: Flow) -> bool:
+    try:
+        async with asyncio.timeout(RETRY_SECONDS):
+            return await flow.arrived.wait()
+    except TimeoutError:
+        return False
+
+
 def _spray(callers: Callers, flow: Flow, packet: bytes) -> None:
     fabric = callers.fabric
     instance = fabric.random.choice(fabric.instances)
@@ -218,9 +243,13 @@
     upstream, _, payload = segment.payload.partition(b' ')
     if upstream.decode() != flow.upstream:
         flow.fault = 'another upstream'
-    elif payload == flow.payload:
+    if payload == flow.payload:
         flow.answers.add(segment.sequence)
         if len(flow.answers) == ANSWER_SEGMENTS:
             flow.arrived.set()
-    elif not payload.startswith(flow.source[0].encode()):
+    elif _owner_of(payload) != _owner_of(flow.payload):
         flow.fault = 'answer of another flow'
+
+
+def _owner_of(payload: bytes) -> bytes:
+    return payload.partition(b' ')[0]
--- /dev/null
+++ b/bench/cost.py
@@ -0,0 +1,48 @@
+"""Measure what an instance costs: forwarding, memory, control."""
+
+from typing import Final
+
+import msgspec
+
+from bench.control import ControlSlope, measure_control
+from bench.forwarding import ForwardingRates, measure_forwarding
+from bench.holding import MemorySlope, bytes_per_flow, measure_memory
+
+__all__ = ('CostReport', 'run_cost')
+
+FLEET_SIZES: Final = (4, 8, 16)
+
+
+class CostReport(msgspec.Struct, frozen=True):
+    """Report the cost of an instance.
+
+    `forward_ratio` and `relay_ratio` compare with the bare forwarder;
+    `control_bytes_per_s` (sent and received) and `control_core_share` are
+    those of the busiest instance of the largest fleet measured.
+    """
+
+    forward_ratio: float
+    relay_ratio: float
+    control_bytes_per_s: float
+    control_core_share: float
+    bytes_per_flow: float
+    packets_per_s: ForwardingRates
+    memory: tuple[MemorySlope, ...]
+    control: tuple[ControlSlope, ...]
+
+
+async def run_cost(seed: int) -> CostReport:
+    """Measure forwarding, then memory, then control."""
+    rates = await measure_forwarding(seed)
+    memory = await measure_memory(seed)
+    control = [await measure_control(size, seed) for size in FLEET_SIZES]
+    return CostReport(
+        forward_ratio=rates.home / rates.bare,
+        relay_ratio=rates.relay / rates.bare,
+        control_bytes_per_s=control[-1].control_bytes_per_s,
+        control_core_share=control[-1].control_core_share,
+        bytes_per_flow=bytes_per_flow(memory),
+        packets_per_s=rates,
+        memory=memory,
+        control=tuple(control),
+    )
--- /dev/null
+++ b/bench/demo.py
@@ -0,0 +1,116 @@
+"""Show the main job: flows survive a drain and a stop under load."""
+
+import asyncio
+import sys
+import time
+from typing import Final
+
+import msgspec
+
+from bench.callers import FlowPlan
+from bench.changes import change_upstream, publish_and_time, stop_instance
+from bench.load import (
+    Background,
+    count_late,
+    finish_background,
+    measure_imbalance,
+    start_background,
+)
+from bench.stage import Stage, ask_statuses, end_upstreams, open_stage
+
+__all__ = ('DemoReport', 'run_demo')
+
+DEPLOYMENT: Final = 'consortium'
+INSTANCES: Final = 8
+LONG_FLOWS: Final = 1200
+LONG_REQUESTS: Final = 14
+LONG_PAUSE_SECONDS: Final = 1.0
+DRAINED: Final = 'catalog-3'
+SHORT_FLOWS_A_SECOND: Final = 100
+SETTLE_SECONDS: Final = 1.0
+
+
+class DemoReport(msgspec.Struct, frozen=True):
+    """Report the demonstration.
+
+    `moved` counts flows that were handed to another home; times are seconds.
+    `late_flows` went to the drained upstream after the change was in force.
+    """
+
+    flows: int
+    broken: int
+    misdelivered: int
+    moved: int
+    imbalance: float
+    seconds_in_force: float
+    seconds_to_stop: float
+    late_flows: int
+    faults: dict[str, int]
+
+    def is_good(self) -> bool:
+        """Tell whether nothing broke."""
+        return not self.broken and not self.misdelivered
+
+
+async def run_demo(seed: int) -> DemoReport:
+    """Run one deployment through a drain and a stop, telling of each step."""
+    _tell(f'starting 3 domains, {INSTANCES} instances, 10 upstreams')
+    async with open_stage(DEPLOYMENT, INSTANCES, seed) as stage:
+        return await _show(stage)
+
+
+async def _show(stage: Stage) -> DemoReport:
+    background = Background(stage.callers)
+    open_now = await start_background(
+        background,
+        _long_plans(stage),
+        FlowPlan(stage.endpoint('catalog'), 1, 0),
+        SHORT_FLOWS_A_SECOND,
+    )
+    imbalance = measure_imbalance(stage.specs, open_now)
+    _tell(f'{len(open_now)} flows open, imbalance {imbalance:.3f}')
+    in_force = await _drain(stage)
+    drained_at = time.monotonic()
+    stop_seconds = await _stop(stage)
+    faults = await finish_background(background)
+    statuses = await ask_statuses(stage)
+    counts = await end_upstreams(stage)
+    return DemoReport(
+        flows=len(stage.callers.flows),
+        broken=faults.total(),
+        misdelivered=sum(count.misdelivered for count in counts.values()),
+        moved=sum(status.flows_taken for status in statuses.values()),
+        imbalance=imbalance,
+        seconds_in_force=in_force,
+        seconds_to_stop=stop_seconds,
+        late_flows=count_late(stage.callers, DRAINED, drained_at),
+        faults=dict(faults),
+    )
+
+
+async def _drain(stage: Stage) -> float:
+    change_upstream(stage, 'catalog', DRAINED, draining=True)
+    seconds = await publish_and_time(stage)
+    _tell(f'{DRAINED} drains: in force everywhere after {seconds:.2f} s')
+    await asyncio.sleep(SETTLE_SECONDS)
+    return seconds
+
+
+async def _stop(stage: Stage) -> float:
+    name = next(iter(stage.listed))
+    seconds = await stop_instance(stage, name)
+    _tell(f'instance {name} stopped gracefully in {seconds:.2f} s')
+    await asyncio.sleep(SETTLE_SECONDS)
+    return seconds
+
+
+def _long_plans(stage: Stage) -> list[FlowPlan]:
+    pattern = [
+        FlowPlan(stage.endpoint(service), LONG_REQUESTS, LONG_PAUSE_SECONDS)
+        for service in ('catalog', 'catalog', 'catalog', 'survey')
+    ]
+    return pattern * (LONG_FLOWS // len(pattern))
+
+
+def _tell(text: str) -> None:
+    sys.stderr.write(f'{text}\n')
--- /dev/null
+++ b/bench/holding.py
@@ -0,0 +1,72 @@
+"""Measure the memory that an instance needs for its flows."""
+
+import asyncio
+from collections.abc import Iterator, Sequence
+from typing import Final
+
+import msgspec
+
+from bench.lab import (
+    ACK_FLAGS,
+    SYN_FLAGS,
+    flood,
+    make_flows,
+    make_packet,
+    open_lab,
+)
+from bench.stage import Stage, ask_statuses
+
+__all__ = ('MemorySlope', 'bytes_per_flow', 'measure_memory')
+
+FLOWS: Final = 300_000
+STEPS: Final = 4
+PACKETS_A_SECOND: Final = 30_000
+SECONDS: Final = 60.0
+SETTLE_SECONDS: Final = 0.5
+
+
+class MemorySlope(msgspec.Struct, frozen=True):
+    """Give the resident memory of an instance at a number of flows."""
+
+    flows: int
+    resident_bytes: int
+
+
+async def measure_memory(seed: int) -> tuple[MemorySlope, ...]:
+    """Open ever more flows at one instance; return its memory at each step."""
+    async with open_lab(seed, 1) as stage:
+        sources = list(make_flows(stage, FLOWS))
+        steps = [await _read_memory(stage)]
+        for step in range(STEPS):
+            chunk = sources[step::STEPS]
+            await _open(stage, tuple(_handshakes(chunk)))
+            steps.append(await _read_memory(stage))
+    return tuple(steps)
+
+
+def bytes_per_flow(steps: Sequence[MemorySlope]) -> float:
+    """Return the growth from the first step to the last."""
+    first, last = steps[0], steps[-1]
+    grown = last.resident_bytes - first.resident_bytes
+    return grown / (last.flows - first.flows)
+
+
+def _handshakes(sources: Sequence[tuple[str, int]]) -> Iterator[bytes]:
+    for source in sources:
+        yield make_packet(source, SYN_FLAGS)
+        yield make_packet(source, ACK_FLAGS)
+
+
+async def _open(stage: Stage, packets: Sequence[bytes]) -> None:
+    target = next(iter(stage.listed.values())).address
+    options = ('--rate', str(PACKETS_A_SECOND), '--seconds', str(SECONDS))
+    name = await flood(stage, target, packets, options)
+    await stage.processes.by_name.pop(name).wait()
+    await asyncio.sleep(SETTLE_SECONDS)
+
+
+async def _read_memory(stage: Stage) -> MemorySlope:
+    status = next(iter((await ask_statuses(stage)).values()))
+    return MemorySlope(
+        status.open_flows + status.half_open_flows, status.resident_bytes
+    )
--- /dev/null
+++ b/bench/lab.py
@@ -0,0 +1,173 @@
+"""Set up one service with a single sink for the measurements of cost."""
+
+import functools
+import itertools
+import socket
+from collections.abc import AsyncIterator, Callable, Iterable, Iterator
+from contextlib import asynccontextmanager
+from typing import Final
+
+from dpkt import tcp
+
+from bench.flood import join_packets
+from bench.processes import start_module
+from bench.segments import TUNNEL_PORT, Segment, build_segment
+from bench.stage import Stage, open_platform, start_instances
+from marlbend.config import (
+    ActiveConfig,
+    Configuration,
+    ServiceSpec,
+    UpstreamSpec,
+    apply_configuration,
+)
+from marlbend.members import Fleet, Member, apply_member, home_of
+from marlbend.packets.header import flow_digest
+
+__all__ = (
+    'ACK_FLAGS',
+    'SYN_FLAGS',
+    'Source',
+    'flood',
+    'make_flows',
+    'open_lab',
+    'sink_address',
+)
+
+SERVICE_ADDRESS: Final = '198.51.100.1'
+SERVICE_PORT: Final = 443
+DOMAIN: Final = 'only'
+FIRST_PORT: Final = 1024
+PORTS: Final = 60_000
+PAYLOAD_BYTES: Final = 64
+SYN_FLAGS: Final = tcp.TH_SYN
+ACK_FLAGS: Final = tcp.TH_ACK
+
+_SOURCE_ADDRESS_START: Final = 12
+_SOURCE_ADDRESS_END: Final = 16
+_SOURCE_PORT_START: Final = 20
+_SOURCE_PORT_END: Final = 22
+_PORT_BYTES: Final = 2
+
+Source = tuple[str, int]
+
+
+def sink_address(stage: Stage) -> str:
+    """Return the address of the only upstream."""
+    return stage.address(2, 1)
+
+
+@asynccontextmanager
+async def open_lab(seed: int, instances: int) -> AsyncIterator[Stage]:
+    """Start the platform and instances of one domain for one service."""
+    async with open_platform(seed) as stage:
+        stage.specs['lab'] = ServiceSpec(
+            service='lab',
+            addresses=(SERVICE_ADDRESS,),
+            ports=(SERVICE_PORT,),
+            refusal='silence',
+            upstreams=(
+                UpstreamSpec(
+                    name='sink',
+                    address=sink_address(stage),
+                    domain=DOMAIN,
+                    slots=1,
+                    connections=1,
+                ),
+            ),
+        )
+        await start_instances(stage, instances)
+        yield stage
+
+
+def make_flows(
+    stage: Stage,
+    flows: int,
+    home: str = '',
+) -> Iterator[Source]:
+    """Yield sources of flows, only those with the home named if one is."""
+    find_home = _make_home_finder(stage)
+    sources = (
+        source
+        for source in _count_sources(stage)
+        if not home or find_home(source) == home
+    )
+    yield from itertools.islice(sources, flows)
+
+
+def _count_sources(stage: Stage) -> Iterator[Source]:
+    for number in itertools.count():
+        host = 1 + number // PORTS
+        yield stage.address(4, host), FIRST_PORT + number % PORTS
+
+
+def _make_home_finder(stage: Stage) -> Callable[[Source], str]:
+    fleet, active = _build_view(stage)
+    service = active.service_by_name['lab']
+
+    def find_home(source: Source) -> str:
+        owner = home_of(fleet, service, flow_digest(make_packet(source)))
+        return '' if owner is None else owner.name
+
+    return find_home
+
+
+def make_packet(source: Source, flags: int = ACK_FLAGS) -> bytes:
+    """Return a packet of a flow, made from one template for each flags."""
+    packet = bytearray(_make_template(flags))
+    packet[_SOURCE_ADDRESS_START:_SOURCE_ADDRESS_END] = socket.inet_aton(
+        source[0]
+    )
+    packet[_SOURCE_PORT_START:_SOURCE_PORT_END] = source[1].to_bytes(
+        _PORT_BYTES
+    )
+    return bytes(packet)
+
+
+@functools.cache
+def _make_template(flags: int) -> bytes:
+    payload = bytes(PAYLOAD_BYTES) if flags == ACK_FLAGS else b''
+    service = (SERVICE_ADDRESS, SERVICE_PORT)
+    return build_segment(
+        Segment((SERVICE_ADDRESS, 0), service, flags, 0, payload)
+    )
+
+
+async def flood(
+    stage: Stage,
+    target: str,
+    packets: Iterable[bytes],
+    options: Iterable[str],
+) -> str:
+    """Start sending packets to an address; return the process's name."""
+    name = 'flood'
+    path = stage.processes.write_file('packets', join_packets(packets))
+    await start_module(
+        stage.processes,
+        name,
+        'bench.flood',
+        ['--target', target, '--packets', path, *options],
+    )
+    return name
+
+
+def _build_view(stage: Stage) -> tuple[Fleet, ActiveConfig]:
+    """Return what an instance of the lab knows of homes."""
+    members = [
+        Member(
+            name=listed.name,
+            address=listed.address,
+            domain=listed.domain,
+            fabric_port=TUNNEL_PORT,
+            relay_port=listed.relay_port,
+            control_port=listed.control_port,
+            admin_port=listed.admin_port,
+        )
+        for listed in stage.listed.values()
+    ]
+    fleet = Fleet(members[0], stage.slot_count)
+    for member in members:
+        apply_member(fleet, member, 0)
+    active = ActiveConfig()
+    document = Configuration(tuple(stage.specs.values()))
+    apply_configuration(active, 1, document, 0)
+    return fleet, active
--- a/bench/load.py
+++ b/bench/load.py
@@ -1,23 +1,29 @@
 """Open flows at a rate and look at how they are spread."""
 
 import asyncio
+import itertools
 from collections import Counter
-from collections.abc import Callable, Iterable, Mapping
-from typing import Final
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from typing import Final, final
 
 from bench.callers import Callers, Flow, FlowPlan, open_flows, run_flow
 from marlbend.config import ServiceSpec
 from marlbend.hashing import hash_text
 
 __all__ = (
+    'Background',
     'count_broken',
+    'count_late',
+    'finish_background',
     'hash_imbalance',
     'measure_imbalance',
+    'start_background',
     'start_flows',
     'wait_for_open',
 )
 
 BATCHES_A_SECOND: Final = 50
+OPENED_A_SECOND: Final = 500
 POLL_SECONDS: Final = 0.1
 OPEN_SECONDS: Final = 20
 
@@ -40,6 +46,61 @@
     return tasks
 
 
+@final
+class Background:
+    """Hold flows that run while changes are made.
+
+    `stopped` ends the opening of short flows.
+    """
+
+    __slots__ = ('callers', 'opening', 'stopped', 'tasks')
+
+    def __init__(self, callers: Callers) -> None:
+        """Start without flows."""
+        self.callers = callers
+        self.stopped = asyncio.Event()
+        self.tasks: list[asyncio.Task[None]] = []
+        self.opening: asyncio.Task[list[asyncio.Task[None]]] | None = None
+
+
+async def start_background(
+    background: Background,
+    long_plans: Sequence[FlowPlan],
+    short_plan: FlowPlan,
+    rate: int,
+) -> list[Flow]:
+    """Open long flows and return them, then keep opening short ones."""
+    callers = background.callers
+    background.tasks = await start_flows(callers, long_plans, OPENED_A_SECOND)
+    open_now = await wait_for_open(callers, len(long_plans))
+    endless = itertools.takewhile(
+        lambda _: not background.stopped.is_set(),
+        itertools.repeat(short_plan),
+    )
+    background.opening = asyncio.create_task(
+        start_flows(callers, endless, rate)
+    )
+    return open_now
+
+
+async def finish_background(background: Background) -> Counter[str]:
+    """Open no more, wait for every flow, count the broken ones by reason."""
+    background.stopped.set()
+    if background.opening is not None:
+        background.tasks.extend(await background.opening)
+    await asyncio.gather(*background.tasks)
+    return count_broken(background.callers)
+
+
+def count_late(callers: Callers, upstream: str, after: float) -> int:
+    """Count the flows that an upstream accepted after a monotonic time."""
+    return sum(
+        flow.opened_at > after
+        for flow in callers.flows
+        if flow.upstream == upstream
+    )
+
+
 async def wait_for_open(callers: Callers, flows: int) -> list[Flow]:
     """Wait until so many flows are open, or time is up; return them."""
     try:
@@ -101,4 +162,4 @@
 
 def _imbalance(loads: list[float]) -> float:
     mean = sum(loads) / len(loads)
-    return max(loads) / mean if mean else 0.0
+    return max(loads) / mean if mean else 0
--- a/bench/platform.py
+++ b/bench/platform.py
@@ -18,6 +18,8 @@
 __all__ = ('Faults', 'Store', 'make_application')
 
 FAULTS_PATH: Final = '/faults'
+# The platform holds values of up to a megabyte.
+OBJECT_BYTES: Final = 1_048_576
 STORE_KEY: Final = web.AppKey['Store']('store')
 
 _NOT_MODIFIED: Final = 304
@@ -67,7 +69,7 @@
 
 def make_application() -> web.Application:
     """Return the web application."""
-    application = web.Application(client_max_size=1 << 20)
+    application = web.Application(client_max_size=OBJECT_BYTES)
     application[STORE_KEY] = Store()
     path = '/objects/{kind}/{name}'
     application.router.add_get(path, _read)
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import ctypes
 import json
 import pathlib
 import signal
@@ -12,8 +13,6 @@
 from collections.abc import Mapping, Sequence
 from typing import Final, final
 
-from marlbend.options import Settings
-
 __all__ = (
     'Processes',
     'end_process',
@@ -24,6 +23,9 @@
 
 END_SECONDS: Final = 30
 
+# From <sys/prctl.h>: the signal a process gets when its parent ends.
+_PR_SET_PDEATHSIG: Final = 1
+
 
 @final
 class Processes:
@@ -62,6 +64,7 @@
             *arguments,
             stdout=asyncio.subprocess.PIPE,
             stderr=log,
+            preexec_fn=_die_with_parent,
         )
 
 
@@ -88,7 +91,8 @@
 async def kill_process(processes: Processes, name: str) -> None:
     """End a process at once."""
     process = processes.by_name.pop(name)
-    process.kill()
+    if process.returncode is None:
+        process.kill()
     await process.wait()
 
 
@@ -97,3 +101,8 @@
     for name in tuple(processes.by_name):
         await kill_process(processes, name)
     processes.folder.cleanup()
+
+
+def _die_with_parent() -> None:
+    """Let nothing run on when a measurement is interrupted."""
+    ctypes.CDLL(None).prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
--- a/bench/stage.py
+++ b/bench/stage.py
@@ -8,13 +8,13 @@
 import pathlib
 import socket
 from collections.abc import AsyncIterator, Mapping, Sequence
-from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager, suppress
 from random import Random
 from typing import Final, final
 
 import msgspec
 
-from bench.callers import Callers, Fabric, open_hosts
+from bench.callers import Callers, Fabric, close_hosts, open_hosts
 from bench.processes import (
     Processes,
     end_all,
@@ -27,6 +27,7 @@
 from marlbend.config import Configuration, ServiceSpec
 from marlbend.config.publish import publish_configuration
 from marlbend.errors import MarlbendError
+from marlbend.main import SLOT_COUNT
 from marlbend.packets.receive import open_socket
 from marlbend.platform import Platform
 from marlbend.platform.instances import INSTANCES_PATH, ListedInstance
@@ -66,18 +67,21 @@
         'platform',
         'processes',
         'publications',
+        'slot_count',
         'specs',
     )
 
     def __init__(self, seed: int) -> None:
         """Prepare; nothing runs yet."""
-        self.lock, self.octet = _claim_octet(seed)
+        self.lock = _claim_octet(seed)
+        self.octet = socket.inet_aton(self.lock.getsockname()[0])[1]
         self.processes = Processes()
         self.callers = Callers(Fabric((), Random(seed)))
         self.platform = Platform(f'http://{self.address(0, 1)}:{PLATFORM_PORT}')
         self.listed: dict[str, ListedInstance] = {}
         self.specs: dict[str, ServiceSpec] = {}
         self.publications = 0
+        self.slot_count = SLOT_COUNT
 
     def address(self, net: int, host: int) -> str:
         """Return an address of this stage."""
@@ -96,26 +100,47 @@
     seed: int,
 ) -> AsyncIterator[Stage]:
     """Start platform, upstreams, instances and callers of a deployment."""
+    async with open_platform(seed) as stage:
+        await _start_upstreams(stage, deployment)
+        hosts = [stage.address(3, host + 1) for host in range(CALLER_HOSTS)]
+        open_hosts(stage.callers, hosts)
+        await start_instances(stage, instances)
+        yield stage
+
+
+@asynccontextmanager
+async def open_platform(seed: int) -> AsyncIterator[Stage]:
+    """Start only the platform."""
     stage = Stage(seed)
-    try:
-        await _start_surroundings(stage, deployment)
-        domains = sorted(
-            {
-                upstream.domain
-                for spec in stage.specs.values()
-                for upstream in spec.upstreams
-            }
+    async with AsyncExitStack() as stack:
+        stack.callback(stage.lock.close)
+        stack.callback(close_hosts, stage.callers)
+        stack.push_async_callback(end_all, stage.processes)
+        stack.push_async_callback(stage.platform.aclose)
+        await start_module(
+            stage.processes,
+            'platform',
+            'bench.platform',
+            ['--address', stage.address(0, 1), '--port', str(PLATFORM_PORT)],
         )
-        for number in range(instances):
-            await add_instance(stage, domains[number % len(domains)])
-        await write_instances(stage)
-        await publish(stage)
-        await wait_until_serving(stage)
+        await _wait_for_platform(stage.platform)
         yield stage
-    finally:
-        await stage.platform.close()
-        await end_all(stage.processes)
-        stage.lock.close()
+
+
+async def start_instances(stage: Stage, instances: int) -> None:
+    """Start instances, spread over the domains, and wait for them."""
+    domains = sorted(
+        {
+            upstream.domain
+            for spec in stage.specs.values()
+            for upstream in spec.upstreams
+        }
+    )
+    for number in range(instances):
+        await add_instance(stage, domains[number % len(domains)])
+    await write_instances(stage)
+    await publish(stage)
+    await wait_until_serving(stage)
 
 
 async def add_instance(stage: Stage, domain: str) -> str:
@@ -228,23 +253,16 @@
     return specs
 
 
-def _claim_octet(seed: int) -> tuple[socket.socket, int]:
+def _claim_octet(seed: int) -> socket.socket:
+    """Return a socket that holds the first free octet from the seed on."""
     for offset in range(_OCTETS):
         octet = _FIRST_OCTET + (seed + offset) % _OCTETS
-        try:
-            return open_socket(f'127.{octet}.0.1', _LOCK_PORT), octet
-        except MarlbendError:
-            continue
+        with suppress(MarlbendError):
+            return open_socket(f'127.{octet}.0.1', _LOCK_PORT)
     raise RuntimeError('every octet is taken')
 
 
-async def _start_surroundings(stage: Stage, deployment: str) -> None:
-    await start_module(
-        stage.processes,
-        'platform',
-        'bench.platform',
-        ['--address', stage.address(0, 1), '--port', str(PLATFORM_PORT)],
-    )
+async def _start_upstreams(stage: Stage, deployment: str) -> None:
     stage.specs.update(load_deployment(deployment, stage.octet))
     for service, spec in stage.specs.items():
         path = stage.processes.write_file(
@@ -256,9 +274,6 @@
             'bench.upstreams',
             ['--service', path],
         )
-    hosts = [stage.address(3, host + 1) for host in range(CALLER_HOSTS)]
-    open_hosts(stage.callers, hosts)
-    await _wait_for_platform(stage.platform)
 
 
 async def _wait_for_platform(platform: Platform) -> None:
--- a/bench/steady.py
+++ b/bench/steady.py
@@ -1,7 +1,7 @@
 """Measure the steady state: broken flows, imbalance, misdelivery."""
 
 import asyncio
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from typing import Final
 
 import msgspec
@@ -15,6 +15,7 @@
     wait_for_open,
 )
 from bench.stage import Stage, ask_statuses, end_upstreams, open_stage
+from marlbend.wire.messages import Status
 
 __all__ = ('SteadyReport', 'run_steady')
 
@@ -46,13 +47,16 @@
 async def run_steady(seed: int) -> SteadyReport:
     """Hold flows open over all instances and look at them."""
     async with open_stage('consortium', INSTANCES, seed) as stage:
-        callers = stage.callers
-        tasks = await start_flows(callers, _plans(stage), OPENED_A_SECOND)
-        open_now = await wait_for_open(callers, CATALOG_FLOWS + SURVEY_FLOWS)
-        await asyncio.gather(*tasks)
-        statuses = await ask_statuses(stage)
-        counts = await end_upstreams(stage)
-    shares = [status.relay_share for status in statuses.values()]
+        return await _measure(stage)
+
+
+async def _measure(stage: Stage) -> SteadyReport:
+    callers = stage.callers
+    tasks = await start_flows(callers, _plans(stage), OPENED_A_SECOND)
+    open_now = await wait_for_open(callers, CATALOG_FLOWS + SURVEY_FLOWS)
+    await asyncio.gather(*tasks)
+    statuses = await ask_statuses(stage)
+    counts = await end_upstreams(stage)
     faults = count_broken(callers)
     return SteadyReport(
         flows=len(open_now),
@@ -60,11 +64,15 @@
         imbalance=measure_imbalance(stage.specs, open_now),
         imbalance_hash=hash_imbalance(stage.specs, open_now),
         misdelivered=sum(count.misdelivered for count in counts.values()),
-        relay_share=sum(shares) / len(shares),
+        relay_share=_mean_relay_share(statuses.values()),
         faults=dict(faults),
     )
 
 
+def _mean_relay_share(statuses: Collection[Status]) -> float:
+    return sum(status.relay_share for status in statuses) / len(statuses)
+
+
 def _plans(stage: Stage) -> Iterator[FlowPlan]:
     survey = FlowPlan(stage.endpoint('survey'), REQUESTS, PAUSE_SECONDS)
     catalog = FlowPlan(stage.endpoint('catalog'), REQUESTS, PAUSE_SECONDS)
--- a/bench/upstreams.py
+++ b/bench/upstreams.py
@@ -85,27 +85,35 @@
     """Play the server's side for one packet."""
     segment = read_segment(packet)
     host.counts.segments += 1
-    if segment.destination not in host.endpoints:
+    if segment.destination in host.endpoints:
+        _serve_segment(host, segment)
+    else:
         host.counts.misdelivered += 1
-        return
-    caller = segment.source
+
+
+def _serve_segment(host: UpstreamHost, segment: Segment) -> None:
     if segment.flags & tcp.TH_SYN:
         _accept(host, segment)
-    elif segment.flags & tcp.TH_RST:
-        host.connections.discard(caller)
-    elif segment.flags & tcp.TH_FIN and caller in host.connections:
-        host.connections.discard(caller)
-        host.closed.add(caller)
-        _send(host, segment, _FIN_ACK)
-    elif caller in host.connections:
-        _answer(host, segment)
-    elif caller in host.closed:
+    elif segment.source in host.connections:
+        _serve_connection(host, segment)
+    elif segment.source in host.closed:
         _send(host, segment, _FIN_ACK)
     else:
         host.counts.resets += 1
         _send(host, segment, tcp.TH_RST)
 
 
+def _serve_connection(host: UpstreamHost, segment: Segment) -> None:
+    if segment.flags & tcp.TH_RST:
+        host.connections.discard(segment.source)
+    elif segment.flags & tcp.TH_FIN:
+        host.connections.discard(segment.source)
+        host.closed.add(segment.source)
+        _send(host, segment, _FIN_ACK)
+    else:
+        _answer(host, segment)
+
+
 def _accept(host: UpstreamHost, segment: Segment) -> None:
     if segment.source not in host.connections:
         host.connections.add(segment.source)
--- a/marlbend/checking.py
+++ b/marlbend/checking.py
@@ -88,8 +88,8 @@
         yield Problem(f'{path}.{name}', messages.FIELD_UNKNOWN)
     for field in fields:
         place = f'{path}.{field.encode_name}'
-        if field.encode_name in raw:
-            element = raw[field.encode_name]
+        element = raw.get(field.encode_name, msgspec.UNSET)
+        if element is not msgspec.UNSET:
             yield from find_problems(element, field.type, place)
         elif field.required:
             yield Problem(place, messages.FIELD_MISSING)
--- a/marlbend/cli/main.py
+++ b/marlbend/cli/main.py
@@ -8,10 +8,10 @@
 import os
 import sys
 from collections.abc import Awaitable, Callable
+from contextlib import aclosing
 from typing import Final, TypeVar, final
 
 import fire
-import msgspec
 
 from marlbend import VERSION, messages
 from marlbend.cli import reports
@@ -121,10 +121,8 @@
 
     async def run_closing() -> _Answer:
         store = Platform(chosen)
-        try:
+        async with aclosing(store):
             return await work(store)
-        finally:
-            await store.close()
 
     return asyncio.run(run_closing())
 
@@ -136,5 +134,5 @@
             error.text,
             tuple(str(problem) for problem in error.problems),
         )
-        sys.stdout.write(f'{msgspec.json.encode(report).decode()}\n')
+        reports.print_json(report)
     sys.stderr.write(f'marlbend: {error}\n')
--- a/marlbend/cli/reports.py
+++ b/marlbend/cli/reports.py
@@ -3,6 +3,7 @@
 import asyncio
 import sys
 from collections.abc import Iterator, Sequence
+from typing import Final
 
 import msgspec
 
@@ -11,7 +12,7 @@
 from marlbend.members import Member
 from marlbend.platform import Platform
 from marlbend.platform.instances import INSTANCES_PATH, decode_instances
-from marlbend.wire.messages import Status
+from marlbend.wire.messages import MemberStatus, Status
 from marlbend.wire.rpc import call_status
 
 __all__ = (
@@ -21,12 +22,29 @@
     'StatusReport',
     'VersionReport',
     'collect_status',
+    'print_json',
     'print_report',
     'report_check',
     'report_publish',
 )
 
 
+_MEGABYTE: Final = 1_048_576
+_STATUS_TEMPLATES: Final = (
+    '{name} ({domain}) {state}: configuration {config_version}, '
+    'view {view_version}',
+    '  flows {open_flows} open, {half_open_flows} half-open, '
+    '{closing_flows} closing, {flows_taken} taken from other homes; '
+    'relay share {relay_share:.0%}',
+    '  decision {decision_p50_us:.1f} us median, {decision_p99_us:.1f} us p99',
+    '  control {control_bytes_sent} bytes sent, '
+    '{control_bytes_received} received; memory {resident_megabytes:.0f} MB',
+)
+
+
+_MEMBER_TEMPLATE: Final = '{name}={state}:{home_share:.0%}'
+
+
 class ErrorReport(msgspec.Struct, frozen=True):
     """Tell why a verb failed."""
 
@@ -65,10 +83,8 @@
 
     def lines(self) -> Iterator[str]:
         """Yield the report for a person."""
-        yield (
-            f'published version {self.version}: {self.services} services, '
-            f'{self.upstreams} upstreams'
-        )
+        yield f'published version {self.version}'
+        yield f'services {self.services}, upstreams {self.upstreams}'
 
 
 class StatusReport(msgspec.Struct, frozen=True):
@@ -91,11 +107,17 @@
 def print_report(report: Report, as_json: bool) -> None:
     """Print a report as one JSON object or as lines of text."""
     if as_json:
-        sys.stdout.write(f'{msgspec.json.encode(report).decode()}\n')
+        print_json(report)
     else:
         sys.stdout.writelines(f'{line}\n' for line in report.lines())
 
 
+def print_json(report: msgspec.Struct) -> None:
+    """Print one JSON object on a line."""
+    encoded = msgspec.json.encode(report).decode()
+    sys.stdout.write(f'{encoded}\n')
+
+
 def report_check(document: Configuration) -> CheckReport:
     """Count what was checked."""
     return CheckReport(len(document.services), _count_upstreams(document))
@@ -141,30 +163,17 @@
 
 
 def _status_lines(status: Status) -> Iterator[str]:
-    yield (
-        f'{status.name} ({status.domain}) {status.state}: '
-        f'configuration {status.config_version}, view {status.view_version}'
-    )
-    yield (
-        f'  flows {status.open_flows} open, {status.half_open_flows} '
-        f'half-open, {status.closing_flows} closing'
-    )
-    yield (
-        f'  decision {status.decision_p50_us:.1f} us median, '
-        f'{status.decision_p99_us:.1f} us p99; '
-        f'relay share {status.relay_share:.0%}'
-    )
-    yield (
-        f'  control {status.control_bytes_sent} bytes sent, '
-        f'{status.control_bytes_received} received; '
-        f'memory {status.resident_bytes >> 20} MB'
-    )
     counts = ' '.join(
         f'{name}={count}' for name, count in status.packets.items()
     )
-    yield f'  packets {counts or "none"}'
-    members = ' '.join(
-        f'{member.name}={member.state}:{member.home_share:.0%}'
-        for member in status.members
-    )
+    members = ' '.join(map(_member_text, status.members))
+    figures = msgspec.structs.asdict(status)
+    figures['resident_megabytes'] = status.resident_bytes / _MEGABYTE
+    for template in _STATUS_TEMPLATES:
+        yield template.format(**figures)
+    yield f'  packets {counts}'
     yield f'  members {members}'
+
+
+def _member_text(member: MemberStatus) -> str:
+    return _MEMBER_TEMPLATE.format(**msgspec.structs.asdict(member))
--- a/marlbend/config/active.py
+++ b/marlbend/config/active.py
@@ -48,7 +48,7 @@
         nowhere = ('',) * BUCKET_COUNT
         self.domain_by_bucket: tuple[str, ...] = nowhere
         self.previous_by_bucket: tuple[str, ...] = nowhere
-        self.previous_until = 0.0
+        self.previous_until: float = 0
 
 
 @final
@@ -150,13 +150,13 @@
     weights: Mapping[str, int],
 ) -> Iterator[str]:
     for bucket in range(BUCKET_COUNT):
-        yield max(
-            weights,
-            key=lambda domain: weigh_hash(
-                hash_text(f'{service}/{domain}/{bucket}'), weights[domain]
-            ),
-            default='',
-        )
+        scores = {
+            domain: weigh_hash(
+                hash_text(f'{service}/{domain}/{bucket}'), weight
+            )
+            for domain, weight in weights.items()
+        }
+        yield max(scores, key=scores.__getitem__, default='')
 
 
 def _endpoints(spec: ServiceSpec) -> Iterator[bytes]:
--- a/marlbend/config/check.py
+++ b/marlbend/config/check.py
@@ -1,5 +1,6 @@
 """Check service files one by one and as a whole."""
 
+from collections import Counter
 from collections.abc import Iterable, Iterator, Sequence
 from typing import final
 
@@ -22,12 +23,12 @@
         self.text = text
         self.owner_by_place: dict[str, str] = {}
 
-    def claim(self, place: str, owner: str, path: str) -> Iterator[Problem]:
+    def claim(self, place: str, owner: str) -> Iterator[Problem]:
         """Yield a problem if the address has an owner already."""
         known = self.owner_by_place.setdefault(place, owner)
         if known != owner:
             text = self.text.format(endpoint=place, owner=known)
-            yield Problem(path, text)
+            yield Problem(owner, text)
 
 
 def collect_services(paths: Sequence[str]) -> Configuration:
@@ -35,10 +36,9 @@
     problems: list[Problem] = []
     specs: list[ServiceSpec] = []
     for path in paths:
-        spec, found = decode_checked(read_json(path), ServiceSpec)
+        spec, found = _read_service(path)
         problems.extend(_prefix(path, found))
         if spec is not None:
-            problems.extend(_prefix(path, _check_addresses(spec)))
             specs.append(spec)
     problems.extend(find_conflicts(specs))
     if not paths:
@@ -53,25 +53,37 @@
     return Configuration(tuple(specs))
 
 
-def find_conflicts(specs: Iterable[ServiceSpec]) -> Iterator[Problem]:
+def find_conflicts(specs: Sequence[ServiceSpec]) -> Iterator[Problem]:
     """Yield what only shows when all services are seen together."""
-    names: set[str] = set()
+    yield from _find_repeated_names(specs)
     endpoints = _Claims(messages.ENDPOINT_TWICE)
-    tunnels = _Claims(messages.UPSTREAM_TWICE)
+    upstreams = _Claims(messages.UPSTREAM_TWICE)
     for spec in specs:
-        if spec.service in names:
-            text = messages.SERVICE_TWICE.format(name=spec.service)
-            yield Problem(spec.service, text)
-        names.add(spec.service)
-        for address in spec.addresses:
-            for port in spec.ports:
-                yield from endpoints.claim(
-                    f'{address}:{port}', spec.service, spec.service
-                )
+        for endpoint in _list_endpoints(spec):
+            yield from endpoints.claim(endpoint, spec.service)
         for upstream in spec.upstreams:
-            yield from tunnels.claim(
-                upstream.address, spec.service, f'{spec.service}.upstreams'
-            )
+            yield from upstreams.claim(upstream.address, spec.service)
+
+
+def _read_service(path: str) -> tuple[ServiceSpec | None, list[Problem]]:
+    spec, problems = decode_checked(read_json(path), ServiceSpec)
+    if spec is not None:
+        problems.extend(_check_addresses(spec))
+    return spec, problems
+
+
+def _find_repeated_names(specs: Sequence[ServiceSpec]) -> Iterator[Problem]:
+    counts = Counter(spec.service for spec in specs)
+    for name, count in counts.items():
+        if count > 1:
+            text = messages.SERVICE_TWICE.format(name=name)
+            yield Problem(name, text)
+
+
+def _list_endpoints(spec: ServiceSpec) -> Iterator[str]:
+    for address in spec.addresses:
+        for port in spec.ports:
+            yield f'{address}:{port}'
 
 
 def _check_addresses(spec: ServiceSpec) -> Iterator[Problem]:
--- a/marlbend/config/documents.py
+++ b/marlbend/config/documents.py
@@ -5,15 +5,18 @@
 version of that object is the version of the configuration.
 """
 
-from typing import Annotated, Literal
+from typing import Annotated, Final, Literal
 
 import msgspec
 
 __all__ = ('Configuration', 'ServiceSpec', 'UpstreamSpec')
 
-Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
+HIGHEST_PORT: Final = 65_535
+HIGHEST_COUNT: Final = 1_000_000
+
+Port = Annotated[int, msgspec.Meta(ge=1, le=HIGHEST_PORT)]
 Name = Annotated[str, msgspec.Meta(pattern='^[a-z][a-z0-9-]{0,62}$')]
-Count = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+Count = Annotated[int, msgspec.Meta(ge=1, le=HIGHEST_COUNT)]
 
 
 class UpstreamSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/marlbend/config/publish.py
+++ b/marlbend/config/publish.py
@@ -6,6 +6,7 @@
 effect even if another one followed.
 """
 
+from contextlib import suppress
 from typing import Final
 
 import msgspec
@@ -83,21 +84,33 @@
     publication: str,
 ) -> WriteOutcome:
     """Write, and read back whenever the answer leaves a doubt."""
-    failure: MarlbendError | None = None
+    try:
+        return await platform.write(*CONFIG_PATH, body, version)
+    except MarlbendError as error:
+        failure = error
     for _ in range(WRITE_ATTEMPTS):
-        try:
-            outcome = await platform.write(*CONFIG_PATH, body, version)
-        except MarlbendError as error:
-            failure = error
-        else:
-            if outcome.written or failure is None:
-                return outcome
-        found, current = await read_configuration(platform)
-        if publication in current.publications:
-            return WriteOutcome(written=True, version=found)
-        if found != version:
-            return WriteOutcome(written=False, version=found)
-    raise failure or _conflict(version, found)
+        outcome = await _read_back(platform, version, publication)
+        if outcome is not None:
+            return outcome
+        # The object is still the one to replace: the condition makes a second
+        # write harmless should the first one arrive late.
+        with suppress(MarlbendError):
+            await platform.write(*CONFIG_PATH, body, version)
+    raise failure
+
+
+async def _read_back(
+    platform: Platform,
+    version: int,
+    publication: str,
+) -> WriteOutcome | None:
+    """Tell what became of a write, or nothing while it is undone."""
+    found, current = await read_configuration(platform)
+    if publication in current.publications:
+        return WriteOutcome(written=True, version=found)
+    if found == version:
+        return None
+    return WriteOutcome(written=False, version=found)
 
 
 def _conflict(expected: int, found: int) -> MarlbendError:
--- a/marlbend/errors.py
+++ b/marlbend/errors.py
@@ -51,6 +51,6 @@
 
     def __str__(self) -> str:
         """Show the code and the message on one line."""
-        details = '; '.join(str(problem) for problem in self.problems)
-        text = f'{self.text}: {details}' if details else self.text
-        return f'error[{self.kind.value}]: {text}'
+        code = self.kind.value
+        parts = (f'error[{code}]: {self.text}', *map(str, self.problems))
+        return '; '.join(parts)
--- a/marlbend/flows/choice.py
+++ b/marlbend/flows/choice.py
@@ -18,7 +18,7 @@
 __all__ = ('choose_default', 'choose_upstream')
 
 # An upstream may hold this share above the mean before flows are moved away.
-LOAD_SLACK: Final = 0.0
+LOAD_SLACK: Final = 0
 _DIGEST_BYTES: Final = 8
 
 
--- a/marlbend/flows/handover.py
+++ b/marlbend/flows/handover.py
@@ -7,7 +7,6 @@
 
 from collections import defaultdict
 from collections.abc import Callable, Iterator, Sequence
-from typing import Final
 
 from marlbend.config import ActiveConfig, Service
 from marlbend.flows.table import (
@@ -33,9 +32,6 @@
 HomeOf = Callable[[Service, int], Member | None]
 Moves = dict[str, list[int]]
 
-# A message stays far below the limit of the transport.
-GROUP_FLOWS: Final = 4000
-
 
 def find_moves(
     active: ActiveConfig,
@@ -66,14 +62,12 @@
     for digest in digests:
         entry = table.find(digest)
         if entry is not None:
-            kind = (entry_upstream(entry), entry_phase(entry))
-            by_kind[kind].append(digest)
-    for (number, phase), members in by_kind.items():
+            by_kind[entry_upstream(entry), entry_phase(entry)].append(digest)
+    for (number, phase), grouped in by_kind.items():
         upstream = active.pool.by_number[number]
-        address, port = upstream.tunnel
-        for start in range(0, len(members), GROUP_FLOWS):
-            chunk = tuple(members[start : start + GROUP_FLOWS])
-            yield FlowGroup(upstream.service, address, port, phase, chunk)
+        yield FlowGroup(
+            upstream.service, *upstream.tunnel, phase, tuple(grouped)
+        )
 
 
 def take_groups(
@@ -93,6 +87,7 @@
             if table.find(digest) is None:
                 record_flow(table, digest, upstream.number, group.phase, tick)
                 taken += 1
+    table.taken += taken
     return taken
 
 
--- a/marlbend/flows/table.py
+++ b/marlbend/flows/table.py
@@ -38,7 +38,8 @@
 PHASE_SHIFT: Final = UPSTREAM_BITS
 PHASE_MASK: Final = 3
 TICK_SHIFT: Final = UPSTREAM_BITS + 2
-TICK_MASK: Final = (1 << 16) - 1
+TICK_BITS: Final = 16
+TICK_MASK: Final = (1 << TICK_BITS) - 1
 
 
 @final
@@ -56,14 +57,22 @@
 class FlowTable:
     """Map flow digests to packed entries and count them.
 
-    `open_by_number` counts the flows of an upstream that are not closing.
+    `open_by_number` counts the flows of an upstream that are not closing and
+    `taken` the flows that other homes have handed over.
     """
 
-    __slots__ = ('count_by_phase', 'limit', 'open_by_number', 'shards')
+    __slots__ = (
+        'count_by_phase',
+        'limit',
+        'open_by_number',
+        'shards',
+        'taken',
+    )
 
     def __init__(self, limit: int) -> None:
         """Start empty; `limit` bounds the number of flows."""
         self.limit = limit
+        self.taken = 0
         self.shards: tuple[dict[int, int], ...] = tuple(
             {} for _ in range(SHARD_COUNT)
         )
--- a/marlbend/hashing.py
+++ b/marlbend/hashing.py
@@ -7,7 +7,8 @@
 
 __all__ = ('hash_text', 'weigh_hash')
 
-HASH_RANGE: Final = float(1 << 64)
+HASH_BITS: Final = 64
+HASH_RANGE: Final = float(1 << HASH_BITS)
 
 
 def hash_text(text: str) -> int:
--- a/marlbend/instance.py
+++ b/marlbend/instance.py
@@ -76,20 +76,14 @@
         self.lifecycle = lifecycle
         self.send_letters = send_letters
         self.stop_asked = asyncio.Event()
-        self.stop_seconds = 0.0
+        self.stop_seconds: float = 0
         self.timeouts = Timeouts(0, 0, 0)
-        self.config_since = 0.0
+        self.config_since: float = 0
 
 
 async def run_instance(instance: Instance) -> None:
     """Work until a graceful shutdown has been asked for and is complete."""
-    emit(
-        Event.STARTED,
-        name=instance.path.fleet.myself.name,
-        version=VERSION,
-    )
-    keep_time(instance.path)
-    announce(instance.prober, instance.path.fleet.myself, time.monotonic())
+    _enter_fleet(instance)
     random = instance.prober.random
     async with asyncio.TaskGroup() as group:
         tasks = [
@@ -103,11 +97,18 @@
         await _leave(instance)
         for task in tasks:
             task.cancel()
-    await instance.platform.close()
+    await instance.platform.aclose()
     instance.lifecycle.trigger('stop')
     emit(Event.STOPPED, flows=len(instance.path.table))
 
 
+def _enter_fleet(instance: Instance) -> None:
+    keep_time(instance.path)
+    myself = instance.path.fleet.myself
+    announce(instance.prober, myself, instance.path.now)
+    emit(Event.STARTED, name=myself.name, version=VERSION)
+
+
 def keep_time(path: PacketPath) -> None:
     """Move the coarse clock of the packet path."""
     path.now = time.monotonic()
--- a/marlbend/lifecycle.py
+++ b/marlbend/lifecycle.py
@@ -7,7 +7,7 @@
 relaying what the fabric still sends.
 """
 
-from typing import Final
+from typing import Final, final
 
 from transitions import EventData, Machine
 
@@ -21,11 +21,30 @@
 LEAVING: Final = 'leaving'
 STOPPED: Final = 'stopped'
 
-_TRIGGERS: Final = (
-    ('bind', [STARTING], JOINING),
-    ('serve', [JOINING], SERVING),
-    ('leave', [STARTING, JOINING, SERVING], LEAVING),
-    ('stop', [STARTING, JOINING, SERVING, LEAVING], STOPPED),
+
+@final
+class Step:
+    """Say which trigger leads from which states to which."""
+
+    __slots__ = ('sources', 'target', 'trigger')
+
+    def __init__(
+        self,
+        trigger: str,
+        sources: tuple[str, ...],
+        target: str,
+    ) -> None:
+        """Keep the three."""
+        self.trigger = trigger
+        self.sources = sources
+        self.target = target
+
+
+_STEPS: Final = (
+    Step('bind', (STARTING,), JOINING),
+    Step('serve', (JOINING,), SERVING),
+    Step('leave', (STARTING, JOINING, SERVING), LEAVING),
+    Step('stop', (STARTING, JOINING, SERVING, LEAVING), STOPPED),
 )
 
 
@@ -38,8 +57,8 @@
         send_event=True,
         after_state_change=_log_state,
     )
-    for trigger, sources, target in _TRIGGERS:
-        machine.add_transition(trigger, [*sources], target)
+    for step in _STEPS:
+        machine.add_transition(step.trigger, list(step.sources), step.target)
     return machine
 
 
--- a/marlbend/main.py
+++ b/marlbend/main.py
@@ -19,7 +19,6 @@
 
 from marlbend.config import ActiveConfig
 from marlbend.errors import MarlbendError
-from marlbend.events import Event, emit
 from marlbend.flows import FlowTable, Timeouts
 from marlbend.instance import Instance, run_instance, take_hand_over
 from marlbend.lifecycle import make_lifecycle
@@ -68,14 +67,18 @@
     )
     arguments = parser.parse_args()
     try:
-        settings = load_settings(arguments.settings)
-        _start_logging(settings)
-        asyncio.run(serve(settings))
+        _run_with(arguments.settings)
     except MarlbendError as error:
         sys.stderr.write(f'marlbendd: {error}\n')
         sys.exit(error.exit_code)
 
 
+def _run_with(path: str) -> None:
+    settings = load_settings(path)
+    _start_logging(settings)
+    asyncio.run(serve(settings))
+
+
 async def serve(settings: Settings) -> None:
     """Wire one instance and run it until it is told to stop."""
     metrics = Metrics()
@@ -97,14 +100,18 @@
         int(limits.closing_seconds),
     )
     admin = await _wire_admin(settings, instance, metrics)
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, instance.stop_asked.set)
+    _stop_on_signals(instance)
     instance.lifecycle.trigger('bind')
     await run_instance(instance)
     await admin.stop(grace=None)
 
 
+def _stop_on_signals(instance: Instance) -> None:
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, instance.stop_asked.set)
+
+
 def _start_logging(settings: Settings) -> None:
     logging.basicConfig(
         level=settings.log_level,
--- a/marlbend/members/probe.py
+++ b/marlbend/members/probe.py
@@ -11,7 +11,6 @@
 from outside.
 """
 
-import math
 from collections.abc import Iterator
 from random import Random
 from typing import Final, final
@@ -20,6 +19,7 @@
 
 from marlbend.members.fleet import Fleet, apply_member
 from marlbend.members.member import HOME_STATES, Member, MemberState
+from marlbend.members.news import News, add_news, pick_news
 from marlbend.wire.liveness import Ack, Message, Ping, PingRequest
 
 __all__ = ('Letter', 'Prober', 'announce', 'receive_message', 'step')
@@ -31,8 +31,6 @@
 # A longer gap between two steps means that this process was paused.
 PAUSE_SECONDS: Final = 1.0
 INDIRECT_HELPERS: Final = 2
-NEWS_IN_MESSAGE: Final = 6
-NEWS_FACTOR: Final = 3
 
 Address = tuple[str, int]
 
@@ -80,16 +78,13 @@
 
 @final
 class Prober:
-    """Hold what an instance needs to see the others.
-
-    `news_left_by_name` counts how often a record is still to be sent.
-    """
+    """Hold what an instance needs to see the others."""
 
     __slots__ = (
         'errand_by_sequence',
         'fleet',
         'last_step',
-        'news_left_by_name',
+        'news',
         'next_ping',
         'probe_by_sequence',
         'random',
@@ -103,23 +98,20 @@
         self.fleet = fleet
         self.random = random
         self.sequence = 0
-        self.last_step = 0.0
-        self.next_ping = 0.0
+        self.last_step: float = 0
+        self.next_ping: float = 0
         self.round: list[str] = []
         self.probe_by_sequence: dict[int, _Probe] = {}
         self.errand_by_sequence: dict[int, _Errand] = {}
         self.suspicion_by_name: dict[str, float] = {}
-        self.news_left_by_name: dict[str, int] = {}
+        self.news = News()
 
 
 def announce(prober: Prober, member: Member, now: float) -> bool:
     """Merge a record and pass it on if it is news; tell if it was."""
     if not apply_member(prober.fleet, member, now):
         return False
-    members = len(prober.fleet.member_by_name)
-    prober.news_left_by_name[member.name] = NEWS_FACTOR * (
-        1 + math.ceil(math.log2(members + 1))
-    )
+    add_news(prober.news, prober.fleet, member.name)
     if member.state == MemberState.SUSPECT:
         prober.suspicion_by_name[member.name] = now + SUSPICION_SECONDS
     else:
@@ -149,7 +141,9 @@
     for member in message.news:
         _hear(prober, member, now)
     if isinstance(message, Ping):
-        yield Letter(sender, Ack(message.sequence, _pick_news(prober)))
+        yield Letter(
+            sender, Ack(message.sequence, pick_news(prober.news, prober.fleet))
+        )
     elif isinstance(message, Ack):
         prober.probe_by_sequence.pop(message.sequence, None)
         errand = prober.errand_by_sequence.pop(message.sequence, None)
@@ -193,7 +187,7 @@
     prober.probe_by_sequence[prober.sequence] = _Probe(
         target.name, now + ACK_SECONDS
     )
-    news = _pick_news(prober)
+    news = pick_news(prober.news, prober.fleet)
     if target.state == MemberState.SUSPECT and target not in news:
         news = (*news, target)
     yield Letter(_control(target), Ping(prober.sequence, news))
@@ -248,7 +242,9 @@
     names = [name for name in _shuffled_names(prober) if name != target]
     for name in names[:INDIRECT_HELPERS]:
         helper = prober.fleet.member_by_name[name]
-        request = PingRequest(sequence, target, _pick_news(prober))
+        request = PingRequest(
+            sequence, target, pick_news(prober.news, prober.fleet)
+        )
         yield Letter(_control(helper), request)
 
 
@@ -265,7 +261,10 @@
     prober.errand_by_sequence[prober.sequence] = _Errand(
         sender, request.sequence, now + INDIRECT_SECONDS
     )
-    yield Letter(_control(target), Ping(prober.sequence, _pick_news(prober)))
+    yield Letter(
+        _control(target),
+        Ping(prober.sequence, pick_news(prober.news, prober.fleet)),
+    )
 
 
 def _drop_errands(prober: Prober, now: float) -> None:
@@ -289,23 +288,11 @@
         for name, deadline in prober.suspicion_by_name.items()
         if deadline <= now
     ]
-    for name in overdue:
-        member = prober.fleet.member_by_name[name]
+    for suspect in overdue:
+        member = prober.fleet.member_by_name[suspect]
         gone = msgspec.structs.replace(member, state=MemberState.GONE)
         announce(prober, gone, now)
 
 
-def _pick_news(prober: Prober) -> tuple[Member, ...]:
-    """Take the records that were sent least often so far."""
-    left = prober.news_left_by_name
-    names = sorted(left, key=left.__getitem__, reverse=True)
-    picked = names[:NEWS_IN_MESSAGE]
-    for name in picked:
-        left[name] -= 1
-        if not left[name]:
-            left.pop(name)
-    return tuple(prober.fleet.member_by_name[name] for name in picked)
-
-
 def _control(member: Member) -> Address:
     return member.address, member.control_port
--- a/marlbend/members/slots.py
+++ b/marlbend/members/slots.py
@@ -47,7 +47,7 @@
 
     def __init__(self, size: int) -> None:
         """Start without members; `size` is the number of slots."""
-        self.owners: list[Member | None] = [None] * size
+        self.owners: list[Member | None] = [None for _ in range(size)]
         self.scores = array('Q', bytes(size * 8))
         self.member_by_name: dict[str, Member] = {}
         self.predecessor_by_slot: dict[int, Predecessor] = {}
--- a/marlbend/observe/status.py
+++ b/marlbend/observe/status.py
@@ -3,6 +3,7 @@
 import time
 from collections import Counter
 from collections.abc import Iterator
+from typing import Final
 
 from marlbend import VERSION
 from marlbend.flows.table import CLOSING, ESTABLISHED, HALF_OPEN
@@ -18,6 +19,9 @@
 
 __all__ = ('describe_instance',)
 
+MEDIAN: Final = 50
+TAIL: Final = 99
+
 
 def describe_instance(instance: Instance, metrics: Metrics) -> Status:
     """Return the status of an instance at this moment."""
@@ -34,11 +38,12 @@
         members=tuple(_describe_members(path.fleet)),
         packets=_count_packets(path),
         relay_share=_relay_share(path),
-        decision_p50_us=metrics.decision_us(50),
-        decision_p99_us=metrics.decision_us(99),
+        decision_p50_us=metrics.decision_us(MEDIAN),
+        decision_p99_us=metrics.decision_us(TAIL),
         open_flows=phases[ESTABLISHED],
         half_open_flows=phases[HALF_OPEN],
         closing_flows=phases[CLOSING],
+        flows_taken=path.table.taken,
         flows_by_upstream=_count_flows(path),
         control_bytes_sent=metrics.control_sent,
         control_bytes_received=metrics.control_received,
@@ -76,7 +81,7 @@
 def _relay_share(path: PacketPath) -> float:
     relayed = path.counts[Outcome.RELAYED]
     handled = relayed + path.counts[Outcome.FORWARDED]
-    return relayed / handled if handled else 0.0
+    return relayed / handled if handled else 0
 
 
 def _count_flows(path: PacketPath) -> dict[str, int]:
--- a/marlbend/options.py
+++ b/marlbend/options.py
@@ -16,9 +16,13 @@
 
 __all__ = ('Limits', 'Ports', 'Settings', 'load_settings')
 
-Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
+HIGHEST_PORT: Final = 65_535
+HIGHEST_FLOWS: Final = 4_000_000
+DAY_SECONDS: Final = 86_400
+
+Port = Annotated[int, msgspec.Meta(ge=1, le=HIGHEST_PORT)]
 Name = Annotated[str, msgspec.Meta(pattern='^[a-z][a-z0-9-]{0,62}$')]
-Seconds = Annotated[float, msgspec.Meta(gt=0, le=86400)]
+Seconds = Annotated[float, msgspec.Meta(gt=0, le=DAY_SECONDS)]
 LogLevel = Annotated[str, msgspec.Meta(pattern='^(DEBUG|INFO|WARNING|ERROR)$')]
 
 _DEFAULT_DATA_PORT: Final = 6080
@@ -42,8 +46,8 @@
     `flows` and `half_open` count flows; the rest is in seconds.
     """
 
-    flows: Annotated[int, msgspec.Meta(ge=1, le=4_000_000)] = 400_000
-    half_open: Annotated[int, msgspec.Meta(ge=1, le=4_000_000)] = 50_000
+    flows: Annotated[int, msgspec.Meta(ge=1, le=HIGHEST_FLOWS)] = 400_000
+    half_open: Annotated[int, msgspec.Meta(ge=1, le=HIGHEST_FLOWS)] = 50_000
     idle_seconds: Seconds = 900
     half_open_seconds: Seconds = 10
     closing_seconds: Seconds = 30
--- a/marlbend/packets/header.py
+++ b/marlbend/packets/header.py
@@ -11,6 +11,7 @@
 
 import xxhash
 
+from marlbend.hashing import HASH_BITS
 from marlbend.packets.outcomes import Outcome
 
 __all__ = (
@@ -25,17 +26,17 @@
     'packet_flags',
 )
 
-FIN: Final = 0x01
-SYN: Final = 0x02
-RST: Final = 0x04
+FIN: Final = 1
+SYN: Final = 2
+RST: Final = 4
 ACK: Final = 0x10
 
 # Digests fit two digits of a Python integer, which keeps flow entries small.
 DIGEST_BITS: Final = 60
 
-_DROPPED_BITS: Final = 64 - DIGEST_BITS
-# version and length, total length, fragment word, protocol, TCP data offset.
-_LAYOUT: Final = struct.Struct('!BxHxxHxB22xB')
+_DROPPED_BITS: Final = HASH_BITS - DIGEST_BITS
+# Version and header length, total length, fragment word, protocol.
+_LAYOUT: Final = struct.Struct('!BxHxxHxB')
 _MINIMUM_BYTES: Final = 40
 _IPV4_WITHOUT_OPTIONS: Final = 0x45
 _IPV4_VERSION: Final = 4
@@ -43,11 +44,17 @@
 _PROTOCOL_TCP: Final = 6
 _TCP_OFFSET: Final = 20
 _TCP_BYTES_MINIMUM: Final = 20
+_TCP_LENGTH_OFFSET: Final = 32
 _FLAGS_OFFSET: Final = 33
-# Source address, destination address, source port, destination port.
-_TUPLE: Final = slice(12, 24)
-_DESTINATION_ADDRESS: Final = slice(16, 20)
-_DESTINATION_PORT: Final = slice(22, 24)
+# Addresses and ports stand side by side: source, destination, then ports.
+_TUPLE_START: Final = 12
+_DESTINATION_START: Final = 16
+_PORTS_START: Final = 20
+_DESTINATION_PORT_START: Final = 22
+_TUPLE_END: Final = 24
+_TUPLE: Final = slice(_TUPLE_START, _TUPLE_END)
+_DESTINATION_ADDRESS: Final = slice(_DESTINATION_START, _PORTS_START)
+_DESTINATION_PORT: Final = slice(_DESTINATION_PORT_START, _TUPLE_END)
 
 _read_layout: Final = _LAYOUT.unpack_from
 _hash_tuple: Final = xxhash.xxh3_64_intdigest
@@ -55,18 +62,18 @@
 
 def judge_packet(packet: bytes) -> Outcome:
     """Return ACCEPTED for a whole TCP packet, else the kind of its fault."""
-    if len(packet) < _MINIMUM_BYTES:
+    size = len(packet)
+    if size < _MINIMUM_BYTES:
         return Outcome.DROPPED_TRUNCATED
-    first, total, fragment, protocol, offset = _read_layout(packet)
-    if (
-        first == _IPV4_WITHOUT_OPTIONS
-        and protocol == _PROTOCOL_TCP
-        and not fragment & _FRAGMENT_MASK
-        and _TCP_BYTES_MINIMUM <= (offset >> 4) * 4 <= total - _TCP_OFFSET
-        and total <= len(packet)
-    ):
-        return Outcome.ACCEPTED
-    return _name_fault(first, fragment, protocol, len(packet) - total)
+    first, total, fragment, protocol = _read_layout(packet)
+    if first != _IPV4_WITHOUT_OPTIONS or protocol != _PROTOCOL_TCP:
+        return _name_fault(first)
+    if fragment & _FRAGMENT_MASK:
+        return Outcome.DROPPED_FRAGMENT
+    header_bytes = (packet[_TCP_LENGTH_OFFSET] >> 4) * 4
+    if _TCP_BYTES_MINIMUM <= header_bytes <= total - _TCP_OFFSET:
+        return Outcome.ACCEPTED if total <= size else Outcome.DROPPED_TRUNCATED
+    return Outcome.DROPPED_MALFORMED
 
 
 def packet_flags(packet: bytes) -> int:
@@ -84,20 +91,9 @@
     return packet[_DESTINATION_ADDRESS] + packet[_DESTINATION_PORT]
 
 
-def _name_fault(
-    first: int,
-    fragment: int,
-    protocol: int,
-    spare_bytes: int,
-) -> Outcome:
+def _name_fault(first: int) -> Outcome:
+    if first == _IPV4_WITHOUT_OPTIONS:
+        return Outcome.DROPPED_PROTOCOL
     if first >> 4 == _IPV4_VERSION and first > _IPV4_WITHOUT_OPTIONS:
         return Outcome.DROPPED_OPTIONS
-    if first != _IPV4_WITHOUT_OPTIONS:
-        return Outcome.DROPPED_MALFORMED
-    if fragment & _FRAGMENT_MASK:
-        return Outcome.DROPPED_FRAGMENT
-    if protocol != _PROTOCOL_TCP:
-        return Outcome.DROPPED_PROTOCOL
-    if spare_bytes < 0:
-        return Outcome.DROPPED_TRUNCATED
     return Outcome.DROPPED_MALFORMED
--- a/marlbend/packets/path.py
+++ b/marlbend/packets/path.py
@@ -29,9 +29,8 @@
     CLOSING,
     ESTABLISHED,
     HALF_OPEN,
-    PHASE_MASK,
-    PHASE_SHIFT,
     UPSTREAM_MASK,
+    entry_phase,
     record_flow,
     set_phase,
     touch_flow,
@@ -63,10 +62,14 @@
 _CHASE: Final = int(RelayKind.CHASE)
 _DECIDE: Final = int(RelayKind.DECIDE)
 _FIRST_HOP: Final = 1
+# To the previous home, back again, and one hop to spare.
+_CHASE_HOPS: Final = 3
 _SPECIAL_FLAGS: Final = SYN | FIN | RST
 
 Address = tuple[str, int]
 Send = Callable[[bytes, Address], None]
+Receive = Callable[[bytes], None]
+ReceiveFrom = Callable[[bytes, Address], None]
 
 
 @final
@@ -114,14 +117,12 @@
         self.table = table
         self.senders = senders
         self.half_open_limit = half_open_limit
-        self.counts = [0] * len(Outcome)
-        self.now = 0.0
+        self.counts = [0 for _ in Outcome]
+        self.now: float = 0
         self.tick = 0
 
 
-def make_receivers(
-    path: PacketPath,
-) -> tuple[Callable[[bytes], None], Callable[[bytes, Address], None]]:
+def make_receivers(path: PacketPath) -> tuple[Receive, ReceiveFrom]:
     """Return the functions that take fabric packets and relayed packets."""
 
     def receive_fabric(packet: bytes) -> None:
@@ -174,24 +175,26 @@
     home = home_of(path.fleet, service, digest)
     if home is None:
         path.counts[Outcome.DROPPED_NO_HOME] += 1
-    elif home is not path.fleet.myself:
+    elif home is path.fleet.myself:
+        _act_as_home(path, packet, service, digest, (kind, hops))
+    else:
         path.counts[Outcome.RELAYED] += 1
         _relay(path, packet, kind, hops, home)
-    elif kind == _DECIDE:
-        _decide(path, packet, service, digest)
-    else:
-        _chase_or_decide(path, packet, service, digest, hops)
 
 
-def _chase_or_decide(
+def _act_as_home(
     path: PacketPath,
     packet: bytes,
     service: Service,
     digest: int,
-    hops: int,
+    head: tuple[int, int],
 ) -> None:
-    previous = previous_home(path.fleet, service, digest, path.now)
-    if previous is None or hops + 2 > HOP_LIMIT:
+    """Ask the previous home if it may know the flow, else decide."""
+    kind, hops = head
+    previous = None
+    if kind != _DECIDE and hops + _CHASE_HOPS <= HOP_LIMIT:
+        previous = previous_home(path.fleet, service, digest, path.now)
+    if previous is None:
         _decide(path, packet, service, digest)
     else:
         path.counts[Outcome.CHASED] += 1
@@ -209,7 +212,7 @@
     if _forward_known(path, packet, service, digest):
         return
     previous = previous_home(path.fleet, service, digest, path.now)
-    if previous is None or previous is peer or hops + 3 > HOP_LIMIT:
+    if previous is None or previous is peer or hops + _CHASE_HOPS > HOP_LIMIT:
         path.counts[Outcome.RETURNED] += 1
         _relay(path, packet, _DECIDE, hops, peer)
     else:
@@ -251,7 +254,7 @@
     if upstream.service != service.name:
         return False
     flags = packet_flags(packet)
-    phase = (entry >> PHASE_SHIFT) & PHASE_MASK
+    phase = entry_phase(entry)
     if flags & _SPECIAL_FLAGS or phase == HALF_OPEN:
         if phase == CLOSING and flags & SYN:
             return False
--- a/marlbend/packets/receive.py
+++ b/marlbend/packets/receive.py
@@ -23,7 +23,7 @@
 
 MAXIMUM_DATAGRAM_BYTES: Final = 9216
 BATCH_DATAGRAMS: Final = 64
-_BUFFER_BYTES: Final = 1 << 22
+_BUFFER_BYTES: Final = 4_194_304
 _ERRNO_IN_USE: Final = 98
 
 Address = tuple[str, int]
--- a/marlbend/platform/client.py
+++ b/marlbend/platform/client.py
@@ -5,7 +5,6 @@
 in `If-Match`, and fail when another write came first.
 """
 
-import asyncio
 from collections.abc import Mapping
 from typing import Final, final
 
@@ -25,6 +24,7 @@
 _NOT_MODIFIED: Final = 304
 _NOT_FOUND: Final = 404
 _CONFLICT: Final = 412
+_SERVER_FAULT: Final = 500
 
 
 class StoredObject(msgspec.Struct, frozen=True):
@@ -93,7 +93,7 @@
         stored = _read_object(answer, self.url)
         return WriteOutcome(answer.status == _OK, stored.version)
 
-    async def close(self) -> None:
+    async def aclose(self) -> None:
         """Close the connection pool."""
         if self._session is not None:
             await self._session.close()
@@ -149,7 +149,7 @@
             answer.status = 0
     kind = (
         ErrorKind.PLATFORM_UNREACHABLE
-        if answer.status >= 500
+        if answer.status >= _SERVER_FAULT
         else ErrorKind.PLATFORM_REFUSED
     )
     raise MarlbendError(
--- a/marlbend/platform/follow.py
+++ b/marlbend/platform/follow.py
@@ -29,7 +29,7 @@
 
     def __init__(self) -> None:
         self.version = 0
-        self.pause = 0.0
+        self.pause: float = 0
 
 
 async def follow_object(
@@ -49,14 +49,25 @@
         if progress.pause:
             emit(Event.PLATFORM_BACK)
             progress.pause = 0
-        if stored is not None and stored.version > progress.version:
-            progress.version = stored.version
-            take(stored)
-        elif stored is not None:
+        if not _advance(progress, stored, take):
             # An absent object answers at once; do not ask in a tight loop.
             await asyncio.sleep(FIRST_PAUSE_SECONDS)
 
 
+def _advance(
+    progress: _Progress,
+    stored: StoredObject | None,
+    take: Callable[[StoredObject], None],
+) -> bool:
+    if stored is None:
+        return True
+    if stored.version <= progress.version:
+        return False
+    progress.version = stored.version
+    take(stored)
+    return True
+
+
 async def _pause(
     progress: _Progress,
     error: MarlbendError,
--- a/marlbend/upstreams/pool.py
+++ b/marlbend/upstreams/pool.py
@@ -20,8 +20,9 @@
     """Describe one upstream of one service.
 
     `tunnel` is the address and port that take IP-in-UDP; `slots` and
-    `connections` come from the service file, `seed` keys its hash.  `accepting` is false once the
-    upstream is draining or gone from the configuration.
+    `connections` come from the service file; `seed` keys its hash.
+    `accepting` is false once the upstream is draining or gone from the
+    configuration.
     """
 
     __slots__ = (
--- a/marlbend/wire/messages.py
+++ b/marlbend/wire/messages.py
@@ -53,6 +53,7 @@
     open_flows: int
     half_open_flows: int
     closing_flows: int
+    flows_taken: int
     flows_by_upstream: dict[str, int]
     control_bytes_sent: int
     control_bytes_received: int
--- a/marlbend/wire/relay.py
+++ b/marlbend/wire/relay.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+from types import MappingProxyType
 from typing import Final, final
 
 __all__ = ('HEADER_BYTES', 'HOP_LIMIT', 'RelayKind', 'frame', 'read_frame')
@@ -32,15 +33,18 @@
     DECIDE = 3
 
 
-_FRAMES: Final = tuple(
-    tuple(bytes((_MARK, kind, hops)) for hops in range(HOP_LIMIT + 1))
-    for kind in range(RelayKind.DECIDE + 1)
+_FRAMES: Final = MappingProxyType(
+    {
+        (kind, hops): bytes((_MARK, kind, hops))
+        for kind in map(int, RelayKind)
+        for hops in range(1, HOP_LIMIT + 1)
+    }
 )
 
 
 def frame(kind: int, hops: int) -> bytes:
     """Return the bytes that go before a packet."""
-    return _FRAMES[kind][hops]
+    return _FRAMES[kind, hops]
 
 
 def read_frame(datagram: bytes) -> tuple[int, int] | None:
--- a/marlbend/wire/rpc.py
+++ b/marlbend/wire/rpc.py
@@ -29,11 +29,12 @@
 STATUS_METHOD: Final = 'Status'
 HAND_OVER_METHOD: Final = 'HandOver'
 CALL_TIMEOUT_SECONDS: Final = 3.0
+MESSAGE_BYTES: Final = 4_194_304
 
 _OPTIONS: Final = (
     ('grpc.so_reuseport', 0),
     ('grpc.enable_http_proxy', 0),
-    ('grpc.max_receive_message_length', 1 << 22),
+    ('grpc.max_receive_message_length', MESSAGE_BYTES),
 )
 _encode: Final = msgspec.msgpack.encode
 
@@ -47,8 +48,8 @@
     """Serve both methods; raise ADDRESS_IN_USE if the port is taken."""
     server = grpc.aio.server(options=_OPTIONS)
     handlers: dict[str, grpc.RpcMethodHandler[Any, Any]] = {
-        STATUS_METHOD: _handler(on_status, StatusRequest),
-        HAND_OVER_METHOD: _handler(on_hand_over, HandOver),
+        STATUS_METHOD: _make_handler(on_status, StatusRequest),
+        HAND_OVER_METHOD: _make_handler(on_hand_over, HandOver),
     }
     server.add_generic_rpc_handlers(
         (grpc.method_handlers_generic_handler(SERVICE_NAME, handlers),)
@@ -109,7 +110,7 @@
     return msgspec.msgpack.Decoder(shape).decode
 
 
-def _handler(
+def _make_handler(
     answer: Callable[[_Request], Awaitable[_Reply]],
     shape: type[_Request],
 ) -> 'grpc.RpcMethodHandler[_Request, _Reply]':
