--- a/bench/callers.py
+++ b/bench/callers.py
@@ -141,7 +141,7 @@
     for address in addresses:
         own_socket = open_socket(address, CALLER_PORT)
         callers.sockets[address] = own_socket
-        start_reading(own_socket, receive)
+        start_reading(own_socket, receive, lambda: None)
 
 
 def close_hosts(callers: Callers) -> None:
--- a/bench/upstreams.py
+++ b/bench/upstreams.py
@@ -156,7 +156,7 @@
     for upstream in spec.upstreams:
         own_socket = open_socket(upstream.address, upstream.port)
         host = UpstreamHost(upstream.name, endpoints, own_socket)
-        start_reading(own_socket, _make_receiver(host))
+        start_reading(own_socket, _make_receiver(host), lambda: None)
         hosts.append(host)
     stopped = asyncio.Event()
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stopped.set)
--- /dev/null
+++ b/marlbend/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Run one instance: sockets, clocks and tasks around the decisions."""
--- /dev/null
+++ b/marlbend/daemon/control.py
@@ -0,0 +1,66 @@
+"""Send and receive the datagrams of the control port."""
+
+import time
+from collections.abc import Callable
+from typing import Final
+
+from marlbend.daemon.loads import take_loads
+from marlbend.daemon.state import Address, Instance, Outbox
+from marlbend.flows.replicas import take_copies
+from marlbend.members.probe import receive_message
+from marlbend.observe import Metrics
+from marlbend.wire import control
+from marlbend.wire.control import ControlMessage
+from marlbend.wire.copies import Copies, LoadReport
+
+__all__ = ('make_outbox', 'make_receiver')
+
+# What IPv4 and UDP add to a datagram.
+DATAGRAM_OVERHEAD_BYTES: Final = 28
+
+
+def make_outbox(
+    send: Callable[[bytes, Address], None],
+    metrics: Metrics,
+) -> Outbox:
+    """Return an outbox that counts the bytes it sends."""
+
+    def send_counted(message: ControlMessage, address: Address) -> int:
+        datagram = control.encode(message)
+        size = len(datagram) + DATAGRAM_OVERHEAD_BYTES
+        metrics.control_sent += size
+        send(datagram, address)
+        return size
+
+    return Outbox(send_counted)
+
+
+def make_receiver(instance: Instance) -> Callable[[bytes, Address], None]:
+    """Return the function that takes control datagrams."""
+    metrics = instance.metrics
+
+    def receive(datagram: bytes, sender: Address) -> None:
+        metrics.control_received += len(datagram) + DATAGRAM_OVERHEAD_BYTES
+        message = control.decode(datagram)
+        if message is None:
+            metrics.control_malformed += 1
+        else:
+            _dispatch(instance, message, sender)
+
+    return receive
+
+
+def _dispatch(
+    instance: Instance,
+    message: ControlMessage,
+    sender: Address,
+) -> None:
+    if isinstance(message, Copies):
+        take_copies(instance.replicas, instance.path.active, message)
+    elif isinstance(message, LoadReport):
+        take_loads(instance, message)
+    else:
+        letters = receive_message(
+            instance.prober, message, sender, time.monotonic()
+        )
+        instance.outbox.send_letters(letters)
--- /dev/null
+++ b/marlbend/daemon/replication.py
@@ -0,0 +1,170 @@
+"""Copy departures to the heirs of their slots.
+
+Flows on their default need no copy.  What departs is sent, batched and within
+a budget of bytes, to the instance that would inherit it.
+"""
+
+import asyncio
+import itertools
+from collections import defaultdict
+from collections.abc import Iterator
+from typing import Final, final
+
+from marlbend.daemon.state import Instance
+from marlbend.flows.choice import choose_default
+from marlbend.flows.handover import group_flows
+from marlbend.flows.table import (
+    ESTABLISHED,
+    SHARD_COUNT,
+    entry_departs,
+    entry_phase,
+    entry_upstream,
+    iterate_shard,
+    mark_departure,
+)
+from marlbend.members import heir_of
+from marlbend.packets import PacketPath
+from marlbend.wire.copies import Copies
+
+__all__ = ('replicate_departures',)
+
+FLUSH_SECONDS: Final = 0.1
+CHUNK_FLOWS: Final = 100
+BYTES_A_SECOND: Final = 1500
+BURST_BYTES: Final = 3000
+
+
+@final
+class _Replication:
+    """Remember for which heirs and configuration copies were sent."""
+
+    __slots__ = ('config_version', 'epoch', 'heirs', 'room', 'view_version')
+
+    def __init__(self) -> None:
+        self.view_version = 0
+        self.config_version = 0
+        self.heirs: frozenset[tuple[str, int, str]] = frozenset()
+        self.epoch = 1
+        self.room: float = BURST_BYTES
+
+
+async def replicate_departures(instance: Instance) -> None:
+    """Send copies whenever there is room in the budget, until cancelled."""
+    state = _Replication()
+    while True:
+        await asyncio.sleep(FLUSH_SECONDS)
+        path = instance.path
+        if state.config_version != path.active.version:
+            state.config_version = path.active.version
+            await _mark_departures(path)
+        if state.view_version != path.fleet.version:
+            state.view_version = path.fleet.version
+            await _renew_epoch(instance, state)
+        earned = BYTES_A_SECOND * FLUSH_SECONDS
+        state.room = min(BURST_BYTES, state.room + earned)
+        _flush(instance, state)
+
+
+async def _mark_departures(path: PacketPath) -> None:
+    """Find the flows that a new configuration makes depart."""
+    for shard in range(SHARD_COUNT):
+        for digest, entry in iterate_shard(path.table, shard):
+            if not entry_departs(entry) and _departs(path, digest, entry):
+                mark_departure(path.table, digest)
+        await asyncio.sleep(0)
+
+
+def _departs(path: PacketPath, digest: int, entry: int) -> bool:
+    upstream = path.active.pool.by_number[entry_upstream(entry)]
+    service = path.active.service_by_name.get(upstream.service)
+    if service is None:
+        return False
+    return choose_default(digest, service.accepting) is not upstream
+
+
+async def _renew_epoch(instance: Instance, state: _Replication) -> None:
+    """Send everything again if the heirs of this home have changed."""
+    path = instance.path
+    heirs = frozenset(_list_heirs(path))
+    if heirs == state.heirs:
+        return
+    old_names = {heir[2] for heir in state.heirs}
+    state.heirs = heirs
+    state.epoch += 1
+    path.table.copies_due.clear()
+    path.table.ends_due.clear()
+    for shard in range(SHARD_COUNT):
+        for digest, entry in iterate_shard(path.table, shard):
+            if entry_departs(entry) and entry_phase(entry) == ESTABLISHED:
+                path.table.copies_due.append(digest)
+        await asyncio.sleep(0)
+    for name in old_names - {heir[2] for heir in heirs}:
+        _send(instance, state, name, Copies(*_head(path, state)))
+
+
+def _list_heirs(path: PacketPath) -> Iterator[tuple[str, int, str]]:
+    myself = path.fleet.myself.name
+    for domain, table in path.fleet.slots_by_domain.items():
+        for slot, owner in enumerate(table.owners):
+            heir = table.heirs[slot]
+            if owner is not None and owner.name == myself and heir is not None:
+                yield domain, slot, heir.name
+
+
+def _flush(instance: Instance, state: _Replication) -> None:
+    table = instance.path.table
+    while state.room > 0 and (table.copies_due or table.ends_due):
+        _send_copies(instance, state)
+        _send_ends(instance, state)
+
+
+def _send_copies(instance: Instance, state: _Replication) -> None:
+    path = instance.path
+    due = path.table.copies_due
+    by_heir: dict[str, list[int]] = defaultdict(list)
+    for digest in due[:CHUNK_FLOWS]:
+        entry = path.table.find(digest)
+        if entry is not None:
+            name = _heir_name(path, digest, entry_upstream(entry))
+            by_heir[name].append(digest)
+    del due[:CHUNK_FLOWS]
+    for heir, digests in by_heir.items():
+        groups = tuple(group_flows(path.active, path.table, digests))
+        _send(instance, state, heir, Copies(*_head(path, state), groups))
+
+
+def _send_ends(instance: Instance, state: _Replication) -> None:
+    path = instance.path
+    due = path.table.ends_due
+    by_heir: dict[str, list[int]] = defaultdict(list)
+    for digest in tuple(itertools.islice(due, CHUNK_FLOWS)):
+        by_heir[_heir_name(path, digest, due.pop(digest))].append(digest)
+    for heir, digests in by_heir.items():
+        ended = Copies(*_head(path, state), (), tuple(digests))
+        _send(instance, state, heir, ended)
+
+
+def _heir_name(path: PacketPath, digest: int, number: int) -> str:
+    upstream = path.active.pool.by_number[number]
+    service = path.active.service_by_name.get(upstream.service)
+    if service is None:
+        return ''
+    heir = heir_of(path.fleet, service, digest)
+    return '' if heir is None else heir.name
+
+
+def _head(path: PacketPath, state: _Replication) -> tuple[str, int, int]:
+    myself = path.fleet.myself
+    return myself.name, myself.incarnation, state.epoch
+
+
+def _send(
+    instance: Instance,
+    state: _Replication,
+    name: str,
+    message: Copies,
+) -> None:
+    member = instance.path.fleet.member_by_name.get(name)
+    if member is not None:
+        address = (member.address, member.control_port)
+        state.room -= instance.outbox.send(message, address)
--- /dev/null
+++ b/marlbend/daemon/transfer.py
@@ -0,0 +1,173 @@
+"""Hand flows over to their new homes after each change.
+
+The transfer compares the versions of view and configuration with those it
+last worked on.  When one has moved it adopts the copies of homes that are
+gone, looks through the flow table, a shard at a time, and sends what has a new
+home, one task for each receiver.  What a receiver does not confirm stays here
+and is tried again.
+
+The last message to a receiver says for which view it is complete, so that the
+receiver need not ask this instance about flows it does not know.
+"""
+
+import asyncio
+from collections import defaultdict
+from collections.abc import Mapping, Sequence
+from typing import Final, final
+
+from marlbend.config import Service
+from marlbend.daemon.state import Instance
+from marlbend.errors import MarlbendError
+from marlbend.events import Event, emit
+from marlbend.flows.handover import (
+    Moves,
+    find_moves,
+    forget_flows,
+    group_flows,
+    take_groups,
+)
+from marlbend.flows.replicas import adopt_orphans
+from marlbend.flows.table import SHARD_COUNT
+from marlbend.members import Fleet, Member, home_of, live_members
+from marlbend.members.homes import receivers_of_moves
+from marlbend.members.member import MemberState
+from marlbend.packets import PacketPath
+from marlbend.upstreams.load import drop_reports
+from marlbend.wire.messages import HandOver, HandOverReply
+from marlbend.wire.rpc import call_hand_over
+
+__all__ = ('take_hand_over', 'transfer_flows')
+
+POLL_SECONDS: Final = 0.05
+RETRY_SECONDS: Final = 0.5
+CHUNK_FLOWS: Final = 8000
+
+
+@final
+class _Worked:
+    """Remember the versions that the flow table was last compared with."""
+
+    __slots__ = ('config_version', 'view_version')
+
+    def __init__(self) -> None:
+        self.view_version = 0
+        self.config_version = 0
+
+
+async def transfer_flows(instance: Instance) -> None:
+    """Hand flows over whenever homes have moved, until cancelled."""
+    worked = _Worked()
+    while True:
+        await asyncio.sleep(POLL_SECONDS)
+        view = instance.path.fleet.version
+        config = instance.path.active.version
+        if (view, config) == (worked.view_version, worked.config_version):
+            continue
+        if view != worked.view_version:
+            _enter_view(instance)
+        moves = await _collect_moves(instance.path)
+        if await _send_moves(instance.path, moves):
+            worked.view_version = view
+            worked.config_version = config
+        else:
+            await asyncio.sleep(RETRY_SECONDS)
+
+
+def take_hand_over(instance: Instance, message: HandOver) -> HandOverReply:
+    """Take the flows that another instance gives."""
+    path = instance.path
+    taken = take_groups(path.active, path.table, message.groups, path.tick)
+    sender = message.sender.name
+    if taken:
+        emit(Event.HANDOVER_TAKEN, flows=taken, name=sender)
+    if message.completed_view:
+        path.fleet.completed_by_name[sender] = message.completed_view
+        if message.sender.state == MemberState.LEAVING:
+            # It has given what it had; its copies are out of date.
+            instance.replicas.by_origin.pop(sender, None)
+    return HandOverReply(taken)
+
+
+def _enter_view(instance: Instance) -> None:
+    path = instance.path
+    members = live_members(path.fleet)
+    names = [member.name for member in members]
+    emit(
+        Event.VIEW_CHANGED,
+        version=path.fleet.version,
+        members=' '.join(names),
+    )
+    path.homes = max(1, len(names))
+    drop_reports(path.loads, frozenset(names))
+    adopted = adopt_orphans(
+        instance.replicas,
+        path.table,
+        lambda name, started: _is_present(path.fleet, name, started),
+        path.tick,
+    )
+    if adopted:
+        emit(Event.REPLICAS_ADOPTED, flows=adopted)
+
+
+def _is_present(fleet: Fleet, name: str, incarnation: int) -> bool:
+    member = fleet.member_by_name.get(name)
+    if member is None or member.state == MemberState.GONE:
+        return False
+    return member.incarnation == incarnation
+
+
+async def _collect_moves(path: PacketPath) -> Moves:
+    collected: Moves = defaultdict(list)
+
+    def find_home(service: Service, digest: int) -> Member | None:
+        return home_of(path.fleet, service, digest)
+
+    for name in receivers_of_moves(path.fleet):
+        collected[name] = []
+    for shard in range(SHARD_COUNT):
+        moves = find_moves(path.active, path.table, shard, find_home)
+        for home, digests in moves.items():
+            if home != path.fleet.myself.name:
+                collected[home].extend(digests)
+        await asyncio.sleep(0)
+    return collected
+
+
+async def _send_moves(path: PacketPath, moves: Mapping[str, list[int]]) -> bool:
+    """Send to every receiver at once; tell if all have confirmed."""
+    view = path.fleet.digest
+    confirmed = await asyncio.gather(
+        *(
+            _send_to(path, path.fleet.member_by_name[name], digests, view)
+            for name, digests in moves.items()
+        )
+    )
+    return all(confirmed)
+
+
+async def _send_to(
+    path: PacketPath,
+    receiver: Member,
+    digests: Sequence[int],
+    view: int,
+) -> bool:
+    for start in range(0, len(digests), CHUNK_FLOWS):
+        chunk = digests[start : start + CHUNK_FLOWS]
+        groups = tuple(group_flows(path.active, path.table, chunk))
+        if not await _confirm(receiver, HandOver(path.fleet.myself, groups)):
+            return False
+        forget_flows(path.table, chunk)
+    if digests:
+        emit(Event.HANDOVER_SENT, flows=len(digests), name=receiver.name)
+    return await _confirm(receiver, HandOver(path.fleet.myself, (), view))
+
+
+async def _confirm(receiver: Member, message: HandOver) -> bool:
+    try:
+        await call_hand_over(
+            receiver.address, receiver.admin_port, receiver.name, message
+        )
+    except MarlbendError as error:
+        emit(Event.HANDOVER_FAILED, error=error)
+        return False
+    return True
--- a/marlbend/events.py
+++ b/marlbend/events.py
@@ -19,23 +19,23 @@
     """List the events: number, level and text."""
 
     STARTED = (100, logging.INFO, 'instance {name} {version} started')
+    JOINED = (105, logging.INFO, 'instance {name} {version} joined')
     STATE_CHANGED = (101, logging.INFO, 'state is {state}')
     STOP_ASKED = (102, logging.INFO, 'graceful shutdown asked')
     STOPPED = (103, logging.INFO, 'stopped with {flows} flows left')
     START_FAILED = (104, logging.ERROR, '{error}')
     CONFIG_IN_FORCE = (200, logging.INFO, 'configuration {version} in force')
     CONFIG_REFUSED = (201, logging.ERROR, 'configuration refused: {error}')
-    CONFIG_STALE = (
-        202,
-        logging.WARNING,
-        'configuration {version} ignored, {current} is in force',
-    )
     PLATFORM_LOST = (300, logging.WARNING, 'platform lost: {error}')
     PLATFORM_BACK = (301, logging.INFO, 'platform answers again')
     VIEW_CHANGED = (400, logging.INFO, 'view {version}: {members}')
-    PEER_SILENT = (401, logging.WARNING, 'peer {name} did not acknowledge')
     HANDOVER_SENT = (500, logging.INFO, '{flows} flows handed over to {name}')
     HANDOVER_TAKEN = (501, logging.INFO, '{flows} flows taken from {name}')
+    REPLICAS_ADOPTED = (
+        503,
+        logging.INFO,
+        '{flows} flows of lost homes taken from copies',
+    )
     HANDOVER_FAILED = (502, logging.WARNING, 'hand-over failed: {error}')
 
     def __init__(self, number: int, level: int, text: str) -> None:
--- a/marlbend/flows/choice.py
+++ b/marlbend/flows/choice.py
@@ -3,11 +3,11 @@
 The default is a pure function of the digest and the accepting upstreams:
 weighted rendezvous hashing, so that every instance computes the same one.
 The home departs from it only where load demands, which is consistent hashing
-with bounded loads (Mirrokni, Thorup, Zadimoghaddam 2018).
+with bounded loads (Mirrokni, Thorup, Zadimoghaddam 2018): the default is taken
+unless it is loaded more than the least loaded by a small share of the mean.
 """
 
-import math
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Sequence
 from typing import Final
 
 import xxhash
@@ -17,10 +17,12 @@
 
 __all__ = ('choose_default', 'choose_upstream')
 
-# An upstream may hold this share above the mean before flows are moved away.
-LOAD_SLACK: Final = 0
+# The default may hold this share of the mean more than the least loaded.
+LOAD_SLACK: Final = 0.03
 _DIGEST_BYTES: Final = 8
 
+LoadOf = Callable[[Upstream], float]
+
 
 def choose_default(
     digest: int,
@@ -29,7 +31,7 @@
     """Return the upstream that the digest alone points to."""
     raw = digest.to_bytes(_DIGEST_BYTES)
     best = None
-    best_score = -1.0
+    best_score: float = -1
     for upstream in upstreams:
         score = _score(raw, upstream)
         if score > best_score:
@@ -41,30 +43,26 @@
 def choose_upstream(
     digest: int,
     upstreams: Sequence[Upstream],
-    open_by_number: Mapping[int, int],
+    load_of: LoadOf,
 ) -> Upstream | None:
-    """Return the default, or the least loaded where that one is full.
+    """Return the default, or one of the least loaded where that is too full.
 
-    `open_by_number` counts open flows; an upstream is full when one more flow
-    takes it past its share of all flows by more than `LOAD_SLACK`.
+    `load_of` gives the flows of an upstream as a share of its capacity.
     """
     default = choose_default(digest, upstreams)
     if default is None:
         return None
-    capacity = sum(upstream.connections for upstream in upstreams)
-    flows = 1 + sum(
-        open_by_number.get(upstream.number, 0) for upstream in upstreams
-    )
-    share = flows * default.connections / capacity
-    bound = math.ceil(share * (1 + LOAD_SLACK))
-    if open_by_number.get(default.number, 0) < bound:
+    loads = [load_of(upstream) for upstream in upstreams]
+    least = min(loads)
+    slack = LOAD_SLACK * sum(loads) / len(loads)
+    if load_of(default) <= least + slack:
         return default
-    return min(
-        upstreams,
-        key=lambda upstream: (
-            open_by_number.get(upstream.number, 0) / upstream.connections
-        ),
-    )
+    candidates = [
+        upstream
+        for upstream, load in zip(upstreams, loads, strict=True)
+        if load <= least
+    ]
+    return choose_default(digest, candidates)
 
 
 def _score(raw: bytes, upstream: Upstream) -> float:
--- a/marlbend/flows/handover.py
+++ b/marlbend/flows/handover.py
@@ -18,7 +18,7 @@
     remove_flow,
 )
 from marlbend.members import Member
-from marlbend.wire.messages import FlowGroup
+from marlbend.wire.flows import FlowGroup
 
 __all__ = (
     'HomeOf',
--- a/marlbend/flows/table.py
+++ b/marlbend/flows/table.py
@@ -1,9 +1,14 @@
 """Hold the flows an instance is home for, in bounded memory.
 
-An entry is one integer: the number of the upstream, the phase of the flow and
-the tick (seconds, modulo 2**16) of its last packet.  Entries live in many
-small dictionaries, so that a sweep or a hand-over looks at a few thousand at
-a time and never stops the packet path for long.
+An entry is one integer: the number of the upstream, the phase of the flow,
+whether it departs from the default of its digest, and the tick (seconds,
+modulo 2**16) of its last packet.  Entries live in many small dictionaries, so
+that a sweep or a hand-over looks at a few thousand at a time and never stops
+the packet path for long.
+
+Departures are the only state worth copying elsewhere.  The table lists those
+that began to carry data (`copies_due`) and those that ended
+(`ends_due`, with the number of their upstream).
 """
 
 from collections.abc import Iterator
@@ -16,9 +21,11 @@
     'SHARD_COUNT',
     'FlowTable',
     'Timeouts',
+    'entry_departs',
     'entry_phase',
     'entry_upstream',
     'iterate_shard',
+    'mark_departure',
     'record_flow',
     'remove_flow',
     'set_phase',
@@ -37,7 +44,8 @@
 UPSTREAM_MASK: Final = (1 << UPSTREAM_BITS) - 1
 PHASE_SHIFT: Final = UPSTREAM_BITS
 PHASE_MASK: Final = 3
-TICK_SHIFT: Final = UPSTREAM_BITS + 2
+DEPARTURE_BIT: Final = 1 << UPSTREAM_BITS + 2
+TICK_SHIFT: Final = UPSTREAM_BITS + 3
 TICK_BITS: Final = 16
 TICK_MASK: Final = (1 << TICK_BITS) - 1
 
@@ -62,7 +70,9 @@
     """
 
     __slots__ = (
+        'copies_due',
         'count_by_phase',
+        'ends_due',
         'limit',
         'open_by_number',
         'shards',
@@ -78,6 +88,8 @@
         )
         self.open_by_number: dict[int, int] = {}
         self.count_by_phase = [0, 0, 0]
+        self.copies_due: list[int] = []
+        self.ends_due: dict[int, int] = {}
 
     def __len__(self) -> int:
         """Return the number of flows in every phase."""
@@ -98,6 +110,11 @@
     return (entry >> PHASE_SHIFT) & PHASE_MASK
 
 
+def entry_departs(entry: int) -> bool:
+    """Tell whether the flow departs from its default upstream."""
+    return bool(entry & DEPARTURE_BIT)
+
+
 def record_flow(
     table: FlowTable,
     digest: int,
@@ -105,22 +122,34 @@
     phase: int,
     tick: int,
 ) -> None:
-    """Add a flow or replace what is known of it."""
+    """Add a flow on its default upstream, or replace what is known of it."""
     remove_flow(table, digest)
-    table.shards[digest & SHARD_MASK][digest] = (
-        (tick & TICK_MASK) << TICK_SHIFT | phase << PHASE_SHIFT | number
+    _insert(
+        table,
+        digest,
+        (tick & TICK_MASK) << TICK_SHIFT | phase << PHASE_SHIFT | number,
     )
-    table.count_by_phase[phase] += 1
-    if phase != CLOSING:
-        opened = table.open_by_number.get(number, 0)
-        table.open_by_number[number] = opened + 1
+
+
+def mark_departure(table: FlowTable, digest: int) -> None:
+    """Note that a known flow departs from its default upstream."""
+    entry = table.shards[digest & SHARD_MASK][digest]
+    table.shards[digest & SHARD_MASK][digest] = entry | DEPARTURE_BIT
+    if entry_phase(entry) == ESTABLISHED:
+        table.copies_due.append(digest)
 
 
 def remove_flow(table: FlowTable, digest: int) -> None:
     """Forget a flow, if it is known."""
     entry = table.shards[digest & SHARD_MASK].pop(digest, None)
-    if entry is not None:
-        _uncount(table, entry)
+    if entry is None:
+        return
+    phase = entry_phase(entry)
+    table.count_by_phase[phase] -= 1
+    if phase != CLOSING:
+        _count_open(table, entry_upstream(entry), -1)
+    if phase == ESTABLISHED and entry & DEPARTURE_BIT:
+        table.ends_due[digest] = entry_upstream(entry)
 
 
 def touch_flow(table: FlowTable, digest: int, entry: int, tick: int) -> None:
@@ -136,6 +165,8 @@
     """Move a known flow to another phase."""
     entry = table.shards[digest & SHARD_MASK][digest]
     record_flow(table, digest, entry_upstream(entry), phase, tick)
+    if entry & DEPARTURE_BIT:
+        mark_departure(table, digest)
 
 
 def iterate_shard(table: FlowTable, shard: int) -> Iterator[tuple[int, int]]:
@@ -167,14 +198,17 @@
             yield digest
 
 
-def _uncount(table: FlowTable, entry: int) -> None:
+def _insert(table: FlowTable, digest: int, entry: int) -> None:
+    table.shards[digest & SHARD_MASK][digest] = entry
     phase = entry_phase(entry)
-    table.count_by_phase[phase] -= 1
-    if phase == CLOSING:
-        return
-    number = entry_upstream(entry)
-    opened = table.open_by_number[number] - 1
+    table.count_by_phase[phase] += 1
+    if phase != CLOSING:
+        _count_open(table, entry_upstream(entry), 1)
+
+
+def _count_open(table: FlowTable, number: int, change: int) -> None:
+    opened = table.open_by_number.get(number, 0) + change
     if opened:
         table.open_by_number[number] = opened
     else:
-        table.open_by_number.pop(number)
+        table.open_by_number.pop(number, None)
--- a/marlbend/main.py
+++ b/marlbend/main.py
@@ -2,7 +2,7 @@
 
 This is the composition root; every part is made here and handed to the parts
 that use it.  The whole way of a packet is told in `marlbend.packets.path`,
-the life of an instance in `marlbend.instance`.
+the life of an instance in `marlbend.daemon.instance`.
 """
 
 import argparse
@@ -11,23 +11,27 @@
 import signal
 import sys
 import time
-from collections.abc import Callable, Iterable
 from random import Random
 from typing import Final
 
 import grpc
 
 from marlbend.config import ActiveConfig
+from marlbend.daemon.control import make_outbox, make_receiver
+from marlbend.daemon.following import make_snapshot
+from marlbend.daemon.instance import run_instance
+from marlbend.daemon.state import Instance
+from marlbend.daemon.transfer import take_hand_over
 from marlbend.errors import MarlbendError
 from marlbend.flows import FlowTable, Timeouts
-from marlbend.instance import Instance, run_instance, take_hand_over
 from marlbend.lifecycle import make_lifecycle
 from marlbend.members import Fleet, Member
-from marlbend.members.probe import Letter, Prober, receive_message
+from marlbend.members.probe import Prober
 from marlbend.observe import Metrics, time_decisions
 from marlbend.observe.status import describe_instance
 from marlbend.options import Settings, load_settings
 from marlbend.packets import Outcome, PacketPath, Senders, make_receivers
+from marlbend.packets.path import keep_time
 from marlbend.packets.receive import (
     make_sender,
     open_socket,
@@ -35,22 +39,20 @@
     start_reading_senders,
 )
 from marlbend.platform import Platform
-from marlbend.wire import liveness
 from marlbend.wire.messages import (
     HandOver,
     HandOverReply,
+    Snapshot,
+    SnapshotRequest,
     Status,
     StatusRequest,
 )
-from marlbend.wire.rpc import start_server
+from marlbend.wire.rpc import Handlers, start_server
 
-__all__ = ('run',)
+__all__ = ('SLOT_COUNT', 'run')
 
+# Slots of a failure domain; the same on every instance of a deployment.
 SLOT_COUNT: Final = 1024
-# What IPv4 and UDP add to a datagram.
-DATAGRAM_OVERHEAD_BYTES: Final = 28
-
-Address = tuple[str, int]
 
 
 def run() -> None:
@@ -73,74 +75,44 @@
         sys.exit(error.exit_code)
 
 
-def _run_with(path: str) -> None:
-    settings = load_settings(path)
-    _start_logging(settings)
-    asyncio.run(serve(settings))
-
-
 async def serve(settings: Settings) -> None:
     """Wire one instance and run it until it is told to stop."""
     metrics = Metrics()
     path = _wire_path(settings, metrics)
-    prober = Prober(path.fleet, Random())
-    send_letters = _wire_control(settings, prober, metrics)
-    instance = Instance(
-        path,
-        prober,
-        Platform(settings.platform),
-        make_lifecycle(),
-        send_letters,
-    )
-    limits = settings.limits
-    instance.stop_seconds = limits.stop_seconds
-    instance.timeouts = Timeouts(
-        int(limits.half_open_seconds),
-        int(limits.idle_seconds),
-        int(limits.closing_seconds),
-    )
-    admin = await _wire_admin(settings, instance, metrics)
-    _stop_on_signals(instance)
-    instance.lifecycle.trigger('bind')
-    await run_instance(instance)
-    await admin.stop(grace=None)
-
-
-def _stop_on_signals(instance: Instance) -> None:
+    instance = _wire_instance(settings, path, metrics)
+    admin = await _wire_admin(settings, instance)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, instance.stop_asked.set)
+    instance.lifecycle.trigger('bind')
+    seeds = tuple((peer, settings.ports.admin) for peer in settings.peers)
+    await run_instance(instance, seeds)
+    await admin.stop(grace=None)
 
 
-def _start_logging(settings: Settings) -> None:
+def _run_with(path: str) -> None:
+    settings = load_settings(path)
     logging.basicConfig(
         level=settings.log_level,
         format=f'%(asctime)s {settings.name} %(levelname)s %(message)s',
     )
     logging.getLogger('transitions').setLevel(logging.WARNING)
+    asyncio.run(serve(settings))
 
 
 def _wire_path(settings: Settings, metrics: Metrics) -> PacketPath:
-    ports = settings.ports
-    fabric = open_socket(settings.address, ports.fabric)
-    relay = open_socket(settings.address, ports.relay)
-    myself = Member(
-        name=settings.name,
-        address=settings.address,
-        domain=settings.domain,
-        fabric_port=ports.fabric,
-        relay_port=ports.relay,
-        control_port=ports.control,
-        admin_port=ports.admin,
-        incarnation=time.time_ns(),
-    )
+    fabric = open_socket(settings.address, settings.ports.fabric)
+    relay = open_socket(settings.address, settings.ports.relay)
+
+    def wake() -> None:
+        keep_time(path, time.monotonic())
 
     def count_failure() -> None:
         path.counts[Outcome.DROPPED_SEND] += 1
 
     path = PacketPath(
         ActiveConfig(),
-        Fleet(myself, SLOT_COUNT),
+        Fleet(_describe_myself(settings), SLOT_COUNT),
         FlowTable(settings.limits.flows),
         Senders(
             make_sender(fabric, count_failure),
@@ -149,53 +121,66 @@
         settings.limits.half_open,
     )
     receive_fabric, receive_relay = make_receivers(path)
-    start_reading(fabric, time_decisions(receive_fabric, metrics))
-    start_reading_senders(relay, receive_relay)
+    start_reading(fabric, time_decisions(receive_fabric, metrics), wake)
+    start_reading_senders(relay, receive_relay, wake)
     return path
 
 
-def _wire_control(
+def _describe_myself(settings: Settings) -> Member:
+    return Member(
+        name=settings.name,
+        address=settings.address,
+        domain=settings.domain,
+        fabric_port=settings.ports.fabric,
+        relay_port=settings.ports.relay,
+        control_port=settings.ports.control,
+        admin_port=settings.ports.admin,
+        incarnation=time.time_ns(),
+    )
+
+
+def _wire_instance(
     settings: Settings,
-    prober: Prober,
+    path: PacketPath,
     metrics: Metrics,
-) -> Callable[[Iterable[Letter]], None]:
+) -> Instance:
     endpoint = open_socket(settings.address, settings.ports.control)
-    send = make_sender(endpoint, lambda: None)
-
-    def send_letters(letters: Iterable[Letter]) -> None:
-        for letter in letters:
-            datagram = liveness.encode(letter.message)
-            metrics.control_sent += len(datagram) + DATAGRAM_OVERHEAD_BYTES
-            send(datagram, letter.address)
-
-    def receive(datagram: bytes, sender: Address) -> None:
-        metrics.control_received += len(datagram) + DATAGRAM_OVERHEAD_BYTES
-        message = liveness.decode(datagram)
-        if message is None:
-            metrics.control_malformed += 1
-            return
-        send_letters(receive_message(prober, message, sender, time.monotonic()))
-
-    start_reading_senders(endpoint, receive)
-    return send_letters
+    instance = Instance(
+        path,
+        Prober(path.fleet, Random()),
+        Platform(settings.platform),
+        make_lifecycle(),
+        make_outbox(make_sender(endpoint, lambda: None), metrics),
+    )
+    limits = settings.limits
+    instance.metrics = metrics
+    instance.stop_seconds = limits.stop_seconds
+    instance.timeouts = Timeouts(
+        int(limits.half_open_seconds),
+        int(limits.idle_seconds),
+        int(limits.closing_seconds),
+    )
+    start_reading_senders(endpoint, make_receiver(instance), lambda: None)
+    return instance
 
 
 async def _wire_admin(
     settings: Settings,
     instance: Instance,
-    metrics: Metrics,
 ) -> grpc.aio.Server:
     async def on_status(request: StatusRequest) -> Status:
-        return describe_instance(instance, metrics)
+        return describe_instance(instance)
 
     async def on_hand_over(message: HandOver) -> HandOverReply:
-        return take_hand_over(instance.path, message)
+        return take_hand_over(instance, message)
+
+    async def on_snapshot(request: SnapshotRequest) -> Snapshot:
+        return make_snapshot(instance)
 
     return await start_server(
         settings.address,
         settings.ports.admin,
-        on_status,
-        on_hand_over,
+        Handlers(on_status, on_hand_over, on_snapshot),
     )
 
 
--- a/marlbend/members/__init__.py
+++ b/marlbend/members/__init__.py
@@ -3,11 +3,10 @@
 from marlbend.members.fleet import (
     Fleet,
     apply_member,
-    apply_members,
-    home_of,
     live_members,
-    previous_home,
+    note_listed,
 )
+from marlbend.members.homes import heir_of, home_of, previous_home
 from marlbend.members.member import Member, MemberState
 
 __all__ = (
@@ -15,8 +14,9 @@
     'Member',
     'MemberState',
     'apply_member',
-    'apply_members',
+    'heir_of',
     'home_of',
     'live_members',
+    'note_listed',
     'previous_home',
 )
--- a/marlbend/members/fleet.py
+++ b/marlbend/members/fleet.py
@@ -1,16 +1,15 @@
-"""Keep this instance's view of the fleet and find the home of a flow.
+"""Keep this instance's view of the fleet.
 
-For each flow one instance, its home, decides.  The home follows from the view
-alone: the service and the digest give a failure domain, weighted by what the
-service has there, and a slot of that domain gives the instance.  Views of two
-instances may differ for a while; the packet path copes with that (see
-`marlbend.packets.path`).
+A view is what an instance knows of all others.  Records are merged by
+incarnation and state, so the order in which they arrive does not matter, and
+two instances that have heard the same records have the same view: their
+digests are equal.
 """
 
 from collections.abc import Iterable
 from typing import Final, final
 
-from marlbend.config import Service
+from marlbend.hashing import hash_text
 from marlbend.members.member import HOME_STATES, Member, MemberState
 from marlbend.members.slots import (
     SlotTable,
@@ -23,27 +22,28 @@
     'CHASE_SECONDS',
     'Fleet',
     'apply_member',
-    'apply_members',
-    'home_of',
+    'forget_unlisted',
     'live_members',
-    'previous_home',
+    'note_listed',
 )
 
 # For this long after a slot moved its previous owner is asked first.
 CHASE_SECONDS: Final = 15.0
 
-SLOT_SHIFT: Final = 20
-BUCKET_SHIFT: Final = 52
-
 
 @final
 class Fleet:
     """Hold every known instance and the slots of each failure domain.
 
     `version` counts the changes of this view; it is local to the instance.
+    `digest` is equal for equal sets of homes.  `completed_by_name` holds the
+    digest of the view for which an instance has handed everything over.
     """
 
     __slots__ = (
+        'completed_by_name',
+        'digest',
+        'listed',
         'member_by_name',
         'member_by_relay',
         'myself',
@@ -57,15 +57,12 @@
         self.myself = myself
         self.slot_count = slot_count
         self.version = 0
+        self.digest = 0
+        self.listed: frozenset[str] = frozenset()
         self.member_by_name: dict[str, Member] = {}
         self.member_by_relay: dict[tuple[str, int], Member] = {}
         self.slots_by_domain: dict[str, SlotTable] = {}
-
-
-def apply_members(fleet: Fleet, members: Iterable[Member], now: float) -> bool:
-    """Merge what was heard of several instances; tell if the view changed."""
-    changes = [apply_member(fleet, member, now) for member in members]
-    return any(changes)
+        self.completed_by_name: dict[str, int] = {}
 
 
 def apply_member(fleet: Fleet, member: Member, now: float) -> bool:
@@ -80,6 +77,7 @@
     if known is None or not _replace_in_place(fleet, known, member):
         _forget(fleet, known, now)
         _remember(fleet, member, now)
+    fleet.digest ^= _home_digest(known) ^ _home_digest(member)
     fleet.member_by_name[member.name] = member
     if member.name == fleet.myself.name:
         fleet.myself = member
@@ -87,6 +85,28 @@
     return True
 
 
+def note_listed(fleet: Fleet, listed: Iterable[Member], now: float) -> None:
+    """Take the platform's list: a seed of addresses, never a verdict."""
+    members = list(listed)
+    fleet.listed = frozenset(member.name for member in members)
+    for member in members:
+        if member.name != fleet.myself.name:
+            apply_member(fleet, member, now)
+
+
+def forget_unlisted(fleet: Fleet) -> int:
+    """Drop the records of instances that are gone and listed no more."""
+    dropped = [
+        name
+        for name, member in fleet.member_by_name.items()
+        if member.state == MemberState.GONE and name not in fleet.listed
+    ]
+    for name in dropped:
+        fleet.member_by_name.pop(name)
+        fleet.completed_by_name.pop(name, None)
+    return len(dropped)
+
+
 def live_members(fleet: Fleet) -> list[Member]:
     """Return the instances that are home to flows, sorted by name."""
     return [
@@ -96,72 +116,6 @@
     ]
 
 
-def home_of(fleet: Fleet, service: Service, digest: int) -> Member | None:
-    """Return the home of a flow, or nothing when no instance is live."""
-    slot = _slot_of(fleet, service, digest)
-    domain = service.domain_by_bucket[digest >> BUCKET_SHIFT]
-    table = fleet.slots_by_domain.get(domain)
-    owner = None if table is None else table.owners[slot]
-    if owner is not None:
-        return owner
-    return _home_elsewhere(fleet, service, slot)
-
-
-def previous_home(
-    fleet: Fleet,
-    service: Service,
-    digest: int,
-    now: float,
-) -> Member | None:
-    """Return who may know a flow that its home does not know."""
-    slot = _slot_of(fleet, service, digest)
-    bucket = digest >> BUCKET_SHIFT
-    domain = service.domain_by_bucket[bucket]
-    table = fleet.slots_by_domain.get(domain)
-    if table is not None:
-        predecessor = table.predecessor_by_slot.get(slot)
-        if predecessor is not None:
-            if predecessor.until > now:
-                return _reachable(fleet, predecessor.member)
-            table.predecessor_by_slot.pop(slot)
-    if service.previous_until <= now:
-        return None
-    earlier = fleet.slots_by_domain.get(service.previous_by_bucket[bucket])
-    return None if earlier is None else _other(fleet, earlier.owners[slot])
-
-
-def _slot_of(fleet: Fleet, service: Service, digest: int) -> int:
-    return (service.slot_base + (digest >> SLOT_SHIFT)) % fleet.slot_count
-
-
-def _home_elsewhere(
-    fleet: Fleet,
-    service: Service,
-    slot: int,
-) -> Member | None:
-    for domain in service.domains:
-        table = fleet.slots_by_domain.get(domain)
-        if table is not None and table.owners[slot] is not None:
-            return table.owners[slot]
-    for table in fleet.slots_by_domain.values():
-        if table.owners[slot] is not None:
-            return table.owners[slot]
-    return None
-
-
-def _reachable(fleet: Fleet, member: Member) -> Member | None:
-    current = fleet.member_by_name[member.name]
-    if current.state == MemberState.GONE:
-        return None
-    return _other(fleet, current)
-
-
-def _other(fleet: Fleet, member: Member | None) -> Member | None:
-    if member is None or member.name == fleet.myself.name:
-        return None
-    return member
-
-
 def _replace_in_place(fleet: Fleet, known: Member, member: Member) -> bool:
     """Swap the record of an instance that stays where it is and live."""
     if _place(known) != _place(member):
@@ -193,6 +147,12 @@
     fleet.member_by_relay.pop((known.address, known.relay_port), None)
 
 
+def _home_digest(member: Member | None) -> int:
+    if member is None or member.state not in HOME_STATES:
+        return 0
+    return hash_text(f'{member.domain}/{member.name}/{member.incarnation}')
+
+
 def _place(member: Member) -> tuple[str, str, int]:
     return member.domain, member.address, member.relay_port
 
--- a/marlbend/members/member.py
+++ b/marlbend/members/member.py
@@ -11,12 +11,16 @@
 @enum.unique
 @final
 class MemberState(enum.IntEnum):
-    """Order the states of an instance; of equal incarnations the later wins."""
+    """Order the states of an instance; of equal incarnations the later wins.
 
-    LIVE = 0
-    SUSPECT = 1
-    LEAVING = 2
-    GONE = 3
+    LISTED is known from the platform only and home to nothing.
+    """
+
+    LISTED = 0
+    LIVE = 1
+    SUSPECT = 2
+    LEAVING = 3
+    GONE = 4
 
 
 # A suspect keeps its flows until it is known to be gone.
--- a/marlbend/members/probe.py
+++ b/marlbend/members/probe.py
@@ -22,7 +22,15 @@
 from marlbend.members.news import News, add_news, pick_news
 from marlbend.wire.liveness import Ack, Message, Ping, PingRequest
 
-__all__ = ('Letter', 'Prober', 'announce', 'receive_message', 'step')
+__all__ = (
+    'Letter',
+    'Prober',
+    'announce',
+    'farewell',
+    'receive_message',
+    'spread_config',
+    'step',
+)
 
 PERIOD_SECONDS: Final = 0.2
 ACK_SECONDS: Final = 0.25
@@ -30,7 +38,13 @@
 SUSPICION_SECONDS: Final = 0.8
 # A longer gap between two steps means that this process was paused.
 PAUSE_SECONDS: Final = 1.0
+# After a pause, others tell what has happened within this time.
+CATCH_UP_SECONDS: Final = 1.0
 INDIRECT_HELPERS: Final = 2
+SPREAD_FANOUT: Final = 3
+
+# An instance held to be in one of these hears of it, and may refute it.
+_DOUBTED_STATES: Final = frozenset((MemberState.SUSPECT, MemberState.GONE))
 
 Address = tuple[str, int]
 
@@ -78,12 +92,23 @@
 
 @final
 class Prober:
-    """Hold what an instance needs to see the others."""
+    """Hold what an instance needs to see the others.
+
+    `agreed_at` is the last time another had the same view, `differing` the
+    latest one that had not, `newer` the latest one with a newer configuration
+    than `config_version`, and `caught_up_at` the time at which a process that
+    was paused may decide again.
+    """
 
     __slots__ = (
+        'agreed_at',
+        'caught_up_at',
+        'config_version',
+        'differing',
         'errand_by_sequence',
         'fleet',
         'last_step',
+        'newer',
         'news',
         'next_ping',
         'probe_by_sequence',
@@ -98,6 +123,11 @@
         self.fleet = fleet
         self.random = random
         self.sequence = 0
+        self.agreed_at: float = 0
+        self.caught_up_at: float = 0
+        self.differing: Address | None = None
+        self.newer: Address | None = None
+        self.config_version = 0
         self.last_step: float = 0
         self.next_ping: float = 0
         self.round: list[str] = []
@@ -140,28 +170,89 @@
     """Take a message from a control address and yield the answers."""
     for member in message.news:
         _hear(prober, member, now)
+    if isinstance(message, PingRequest):
+        yield from _run_errand(prober, message, sender, now)
+        return
+    _compare(prober, message, sender, now)
     if isinstance(message, Ping):
-        yield Letter(
-            sender, Ack(message.sequence, pick_news(prober.news, prober.fleet))
-        )
-    elif isinstance(message, Ack):
-        prober.probe_by_sequence.pop(message.sequence, None)
-        errand = prober.errand_by_sequence.pop(message.sequence, None)
-        if errand is not None:
-            yield Letter(errand.address, Ack(errand.sequence))
+        yield Letter(sender, _make_ack(prober, message.sequence))
     else:
-        yield from _run_errand(prober, message, sender, now)
+        yield from _take_ack(prober, message)
+
+
+def spread_config(prober: Prober, version: int) -> Iterator[Letter]:
+    """Tell a few instances at once that there is a new configuration."""
+    prober.config_version = version
+    for name in _shuffled_names(prober)[:SPREAD_FANOUT]:
+        yield from _tell(prober, prober.fleet.member_by_name[name])
+
+
+def farewell(prober: Prober, now: float) -> Iterator[Letter]:
+    """Tell a few instances that this one is gone for good."""
+    myself = prober.fleet.myself
+    gone = msgspec.structs.replace(myself, state=MemberState.GONE)
+    announce(prober, gone, now)
+    for name in _shuffled_names(prober)[:SPREAD_FANOUT]:
+        yield from _tell(prober, prober.fleet.member_by_name[name])
+
+
+def _tell(prober: Prober, member: Member) -> Iterator[Letter]:
+    prober.sequence += 1
+    news = pick_news(prober.news, prober.fleet)
+    yield Letter(_control(member), _make_ping(prober, prober.sequence, news))
+
+
+def _take_ack(prober: Prober, message: Ack) -> Iterator[Letter]:
+    prober.probe_by_sequence.pop(message.sequence, None)
+    errand = prober.errand_by_sequence.pop(message.sequence, None)
+    if errand is not None:
+        yield Letter(errand.address, _make_ack(prober, errand.sequence))
+
+
+def _compare(
+    prober: Prober,
+    message: Ping | Ack,
+    sender: Address,
+    now: float,
+) -> None:
+    """Note who has another view or a newer configuration."""
+    if message.view == prober.fleet.digest:
+        prober.agreed_at = now
+    else:
+        prober.differing = sender
+    if message.config > prober.config_version:
+        prober.newer = sender
+
+
+def _make_ping(
+    prober: Prober,
+    sequence: int,
+    news: tuple[Member, ...],
+) -> Ping:
+    return Ping(sequence, prober.fleet.digest, prober.config_version, news)
+
+
+def _make_ack(prober: Prober, sequence: int) -> Ack:
+    news = pick_news(prober.news, prober.fleet)
+    return Ack(sequence, prober.fleet.digest, prober.config_version, news)
 
 
 def _hear(prober: Prober, member: Member, now: float) -> None:
     myself = prober.fleet.myself
     if member.name != myself.name:
         announce(prober, member, now)
+    elif myself.name not in prober.fleet.member_by_name:
+        prober.fleet.myself = _outlive(myself, member)
     elif _contradicts(myself, member):
-        refuted = msgspec.structs.replace(
-            myself, incarnation=member.incarnation + 1
-        )
-        announce(prober, refuted, now)
+        # When it was held to be gone its slots have moved, and come back.
+        apply_member(prober.fleet, member, now)
+        announce(prober, _outlive(myself, member), now)
+
+
+def _outlive(myself: Member, heard: Member) -> Member:
+    """Return the record of this instance that wins over one heard of it."""
+    incarnation = max(myself.incarnation, heard.incarnation + 1)
+    return msgspec.structs.replace(myself, incarnation=incarnation)
 
 
 def _contradicts(myself: Member, heard: Member) -> bool:
@@ -174,6 +265,7 @@
 
 def _forgive(prober: Prober, now: float) -> None:
     """Suspect nobody for a silence that was this process's own."""
+    prober.caught_up_at = now + CATCH_UP_SECONDS
     prober.probe_by_sequence.clear()
     for name in prober.suspicion_by_name:
         prober.suspicion_by_name[name] = now + SUSPICION_SECONDS
@@ -188,9 +280,9 @@
         target.name, now + ACK_SECONDS
     )
     news = pick_news(prober.news, prober.fleet)
-    if target.state == MemberState.SUSPECT and target not in news:
+    if target.state in _DOUBTED_STATES and target not in news:
         news = (*news, target)
-    yield Letter(_control(target), Ping(prober.sequence, news))
+    yield Letter(_control(target), _make_ping(prober, prober.sequence, news))
 
 
 def _next_target(prober: Prober) -> Member | None:
@@ -200,17 +292,26 @@
         if not prober.round:
             return None
         member = prober.fleet.member_by_name[prober.round.pop()]
-        if member.state in HOME_STATES:
+        if _is_worth_a_ping(prober, member):
             return member
     return None
 
 
+def _is_worth_a_ping(prober: Prober, member: Member) -> bool:
+    """Tell if an instance may be there, also one only the platform lists."""
+    if member.name == prober.fleet.myself.name:
+        return False
+    if member.state in HOME_STATES:
+        return True
+    listed = member.name in prober.fleet.listed
+    return listed and member.state != MemberState.LEAVING
+
+
 def _shuffled_names(prober: Prober) -> list[str]:
     names = [
         member.name
         for member in prober.fleet.member_by_name.values()
-        if member.state in HOME_STATES
-        and member.name != prober.fleet.myself.name
+        if _is_worth_a_ping(prober, member)
     ]
     prober.random.shuffle(names)
     return names
@@ -263,7 +364,9 @@
     )
     yield Letter(
         _control(target),
-        Ping(prober.sequence, pick_news(prober.news, prober.fleet)),
+        _make_ping(
+            prober, prober.sequence, pick_news(prober.news, prober.fleet)
+        ),
     )
 
 
--- a/marlbend/members/slots.py
+++ b/marlbend/members/slots.py
@@ -1,11 +1,12 @@
 """Share the flows of a failure domain over its instances.
 
-A domain has a fixed number of slots, and each slot belongs to the instance
-with the highest hash of instance and slot (rendezvous hashing).  The scores
-are kept, so a join costs one hash for each slot and a departure costs one
-hash for each slot it leaves and each member that remains: no other slot
-moves.  A slot that moved remembers its previous owner for a while, since that
-one may know flows which the new owner does not.
+A domain has a fixed number of slots.  Each slot belongs to the instance with
+the highest hash of instance and slot (rendezvous hashing), its owner; the
+second highest is its heir, which would own the slot without the owner.  The
+scores are kept, so a join costs one hash for each slot, and a departure costs
+one hash for each slot it owned or was heir to and each member that remains: no
+other slot moves.  A slot that moved remembers its previous owner for a while,
+since that one may know flows which the new owner does not.
 """
 
 from array import array
@@ -24,105 +25,118 @@
     'replace_member',
 )
 
-_hash_slot: Final = xxhash.xxh3_64_intdigest
+_SCORE_BYTES: Final = 8
+_SLOT_BYTES: Final = 4
 
 
 @final
 class Predecessor:
     """Name the previous owner of a slot until a time (monotonic seconds)."""
 
-    __slots__ = ('member', 'until')
+    __slots__ = ('name', 'until')
 
-    def __init__(self, member: Member, until: float) -> None:
+    def __init__(self, name: str, until: float) -> None:
         """Keep both."""
-        self.member = member
+        self.name = name
         self.until = until
 
 
 @final
 class SlotTable:
-    """Know the owner of every slot of one failure domain."""
+    """Know the owner and the heir of every slot of one failure domain."""
 
-    __slots__ = ('member_by_name', 'owners', 'predecessor_by_slot', 'scores')
+    __slots__ = (
+        'heir_scores',
+        'heirs',
+        'member_by_name',
+        'owner_scores',
+        'owners',
+        'predecessor_by_slot',
+    )
 
     def __init__(self, size: int) -> None:
         """Start without members; `size` is the number of slots."""
         self.owners: list[Member | None] = [None for _ in range(size)]
-        self.scores = array('Q', bytes(size * 8))
+        self.heirs: list[Member | None] = [None for _ in range(size)]
+        self.owner_scores = array('Q', bytes(size * _SCORE_BYTES))
+        self.heir_scores = array('Q', bytes(size * _SCORE_BYTES))
         self.member_by_name: dict[str, Member] = {}
         self.predecessor_by_slot: dict[int, Predecessor] = {}
 
 
-def add_member(table: SlotTable, member: Member, until: float) -> int:
-    """Give a member its slots; return how many moved to it."""
+def add_member(table: SlotTable, member: Member, until: float) -> None:
+    """Give a member its slots."""
     table.member_by_name[member.name] = member
-    moved = 0
-    seed = _member_seed(member)
-    for slot, owner in enumerate(table.owners):
+    seed = hash_text(member.name)
+    for slot in range(len(table.owners)):
         score = _score(slot, seed)
-        if owner is None or score > table.scores[slot]:
-            _move_slot(table, slot, member, until)
-            table.scores[slot] = score
-            moved += 1
-    return moved
+        if score > table.owner_scores[slot]:
+            _set_heir(table, slot, table.owners[slot], table.owner_scores[slot])
+            _set_owner(table, slot, member, score, until)
+        elif score > table.heir_scores[slot]:
+            _set_heir(table, slot, member, score)
 
 
-def remove_member(table: SlotTable, name: str, until: float) -> int:
-    """Take the slots of a member away; return how many moved."""
+def remove_member(table: SlotTable, name: str, until: float) -> None:
+    """Give the slots of a member to their heirs, and find new heirs."""
     member = table.member_by_name.pop(name, None)
     if member is None:
-        return 0
-    owned = [slot for slot, owner in enumerate(table.owners) if owner is member]
-    seeds = {
-        other.name: _member_seed(other)
-        for other in table.member_by_name.values()
-    }
-    for slot in owned:
-        _reassign_slot(table, slot, seeds, until)
-    return len(owned)
+        return
+    seeds = {other: hash_text(other) for other in table.member_by_name}
+    for slot, owner in enumerate(table.owners):
+        if owner is member:
+            heir = table.heirs[slot]
+            _set_owner(table, slot, heir, table.heir_scores[slot], until)
+        if owner is member or table.heirs[slot] is member:
+            _find_heir(table, slot, seeds)
 
 
 def replace_member(table: SlotTable, member: Member) -> None:
     """Put a newer record of a member in the place of its older one."""
     known = table.member_by_name[member.name]
     table.member_by_name[member.name] = member
-    for slot, owner in enumerate(table.owners):
-        if owner is known:
+    for slot in range(len(table.owners)):
+        if table.owners[slot] is known:
             table.owners[slot] = member
+        elif table.heirs[slot] is known:
+            table.heirs[slot] = member
 
 
-def _reassign_slot(
+def _set_owner(
     table: SlotTable,
     slot: int,
-    seeds: dict[str, int],
+    owner: Member | None,
+    score: int,
     until: float,
 ) -> None:
-    best_score = 0
-    best_name = ''
-    for name, seed in seeds.items():
-        score = _score(slot, seed)
-        if score > best_score:
-            best_score = score
-            best_name = name
-    _move_slot(table, slot, table.member_by_name.get(best_name), until)
-    table.scores[slot] = best_score
+    previous = table.owners[slot]
+    if previous is not None:
+        table.predecessor_by_slot[slot] = Predecessor(previous.name, until)
+    table.owners[slot] = owner
+    table.owner_scores[slot] = score
 
 
-def _move_slot(
+def _set_heir(
     table: SlotTable,
     slot: int,
-    owner: Member | None,
-    until: float,
+    heir: Member | None,
+    score: int,
 ) -> None:
-    previous = table.owners[slot]
-    if previous is not None:
-        table.predecessor_by_slot[slot] = Predecessor(previous, until)
-    table.owners[slot] = owner
+    table.heirs[slot] = heir
+    table.heir_scores[slot] = score
 
 
-def _member_seed(member: Member) -> int:
-    return hash_text(member.name)
+def _find_heir(table: SlotTable, slot: int, seeds: dict[str, int]) -> None:
+    owner = table.owners[slot]
+    scores = {
+        name: _score(slot, seed)
+        for name, seed in seeds.items()
+        if owner is None or name != owner.name
+    }
+    best = max(scores, key=scores.__getitem__, default='')
+    heir = table.member_by_name.get(best)
+    _set_heir(table, slot, heir, scores.get(best, 0))
 
 
 def _score(slot: int, seed: int) -> int:
-    return _hash_slot(slot.to_bytes(4), seed)
+    return xxhash.xxh3_64_intdigest(slot.to_bytes(_SLOT_BYTES), seed)
--- a/marlbend/observe/status.py
+++ b/marlbend/observe/status.py
@@ -6,11 +6,16 @@
 from typing import Final
 
 from marlbend import VERSION
-from marlbend.flows.table import CLOSING, ESTABLISHED, HALF_OPEN
-from marlbend.instance import Instance
+from marlbend.daemon.state import Instance
+from marlbend.flows.replicas import count_replicas
+from marlbend.flows.table import (
+    CLOSING,
+    ESTABLISHED,
+    HALF_OPEN,
+    entry_departs,
+)
 from marlbend.members import Fleet
 from marlbend.observe.metrics import (
-    Metrics,
     processor_seconds,
     resident_bytes,
 )
@@ -23,9 +28,10 @@
 TAIL: Final = 99
 
 
-def describe_instance(instance: Instance, metrics: Metrics) -> Status:
+def describe_instance(instance: Instance) -> Status:
     """Return the status of an instance at this moment."""
     path = instance.path
+    metrics = instance.metrics
     phases = path.table.count_by_phase
     return Status(
         name=path.fleet.myself.name,
@@ -44,6 +50,8 @@
         half_open_flows=phases[HALF_OPEN],
         closing_flows=phases[CLOSING],
         flows_taken=path.table.taken,
+        departing_flows=_count_departures(path),
+        replicas=count_replicas(instance.replicas),
         flows_by_upstream=_count_flows(path),
         control_bytes_sent=metrics.control_sent,
         control_bytes_received=metrics.control_received,
@@ -84,6 +92,14 @@
     return relayed / handled if handled else 0
 
 
+def _count_departures(path: PacketPath) -> int:
+    return sum(
+        entry_departs(entry)
+        for shard in path.table.shards
+        for entry in shard.values()
+    )
+
+
 def _count_flows(path: PacketPath) -> dict[str, int]:
     named = {}
     for number, flows in path.table.open_by_number.items():
--- a/marlbend/options.py
+++ b/marlbend/options.py
@@ -55,12 +55,17 @@
 
 
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Describe one instance: who it is, where it listens, whom it asks."""
+    """Describe one instance: who it is, where it listens, whom it asks.
+
+    `peers` are addresses of other instances to join by when the platform is
+    out.
+    """
 
     name: Name
     address: str
     domain: Name
     platform: Annotated[str, msgspec.Meta(pattern='^https?://')]
+    peers: tuple[str, ...] = ()
     ports: Ports = Ports()
     limits: Limits = Limits()
     log_level: LogLevel = 'INFO'
@@ -78,6 +83,8 @@
 
 def _check_settings(settings: Settings) -> Iterator[Problem]:
     yield from check_address(settings.address, '$.address')
+    for position, peer in enumerate(settings.peers):
+        yield from check_address(peer, f'$.peers[{position}]')
     seen: set[int] = set()
     for name in settings.ports.__struct_fields__:
         port = getattr(settings.ports, name)
--- a/marlbend/packets/outcomes.py
+++ b/marlbend/packets/outcomes.py
@@ -29,3 +29,4 @@
     DROPPED_RELAY_HEADER = 15
     DROPPED_FULL = 16
     DROPPED_SEND = 17
+    DROPPED_CATCHING_UP = 18
--- a/marlbend/packets/path.py
+++ b/marlbend/packets/path.py
@@ -31,6 +31,7 @@
     HALF_OPEN,
     UPSTREAM_MASK,
     entry_phase,
+    mark_departure,
     record_flow,
     set_phase,
     touch_flow,
@@ -47,7 +48,8 @@
     packet_flags,
 )
 from marlbend.packets.outcomes import Outcome
-from marlbend.upstreams import Upstream
+from marlbend.upstreams import Loads, Upstream
+from marlbend.upstreams.load import count_arrival, others_share
 from marlbend.wire.relay import (
     HEADER_BYTES,
     HOP_LIMIT,
@@ -56,11 +58,13 @@
     read_frame,
 )
 
-__all__ = ('PacketPath', 'Senders', 'make_receivers')
+__all__ = ('PacketPath', 'Senders', 'keep_time', 'make_receivers')
 
 _HOME: Final = int(RelayKind.HOME)
 _CHASE: Final = int(RelayKind.CHASE)
 _DECIDE: Final = int(RelayKind.DECIDE)
+# The clock moves at least once a second in a process that runs.
+PAUSE_SECONDS: Final = 2.5
 _FIRST_HOP: Final = 1
 # To the previous home, back again, and one hop to spare.
 _CHASE_HOPS: Final = 3
@@ -88,15 +92,19 @@
 class PacketPath:
     """Hold the state that decisions read and write.
 
-    `now` is monotonic seconds and `tick` the same in whole seconds; the
-    daemon moves them once a second, which is exact enough for timeouts.
+    `now` is monotonic seconds and `tick` the same in whole seconds.
+    `homes` is the number of homes in the view.  While `catching_up`, after a
+    pause of the process, nothing is decided.
     """
 
     __slots__ = (
         'active',
+        'catching_up',
         'counts',
         'fleet',
         'half_open_limit',
+        'homes',
+        'loads',
         'now',
         'senders',
         'table',
@@ -118,10 +126,21 @@
         self.senders = senders
         self.half_open_limit = half_open_limit
         self.counts = [0 for _ in Outcome]
+        self.loads = Loads()
+        self.homes = 1
+        self.catching_up = False
         self.now: float = 0
         self.tick = 0
 
 
+def keep_time(path: PacketPath, now: float) -> None:
+    """Move the clock; a large step means that this process was paused."""
+    if path.now and now - path.now > PAUSE_SECONDS:
+        path.catching_up = True
+    path.now = now
+    path.tick = int(now)
+
+
 def make_receivers(path: PacketPath) -> tuple[Receive, ReceiveFrom]:
     """Return the functions that take fabric packets and relayed packets."""
 
@@ -194,7 +213,9 @@
     previous = None
     if kind != _DECIDE and hops + _CHASE_HOPS <= HOP_LIMIT:
         previous = previous_home(path.fleet, service, digest, path.now)
-    if previous is None:
+    if path.catching_up:
+        path.counts[Outcome.DROPPED_CATCHING_UP] += 1
+    elif previous is None:
         _decide(path, packet, service, digest)
     else:
         path.counts[Outcome.CHASED] += 1
@@ -287,7 +308,7 @@
     if flags & SYN and not flags & ACK:
         upstream = _start_flow(path, service, digest)
     else:
-        upstream = choose_default(digest, service.accepting)
+        upstream = _recover_flow(path, service, digest)
     if upstream is None:
         path.counts[Outcome.DROPPED_NO_UPSTREAM] += 1
     else:
@@ -305,17 +326,59 @@
     default needs no entry, since it can be computed again.
     """
     table = path.table
-    if (
-        table.count_by_phase[HALF_OPEN] >= path.half_open_limit
-        or len(table) >= table.limit
-    ):
+    if not _has_room(path):
         return choose_default(digest, service.accepting)
-    upstream = choose_upstream(digest, service.accepting, table.open_by_number)
+    upstream = choose_upstream(
+        digest, service.accepting, _make_load(path, service)
+    )
     if upstream is not None:
+        count_arrival(path.loads, service.name)
+        record_flow(table, digest, upstream.number, HALF_OPEN, path.tick)
+        if upstream is not choose_default(digest, service.accepting):
+            mark_departure(table, digest)
+    return upstream
+
+
+def _make_load(
+    path: PacketPath,
+    service: Service,
+) -> Callable[[Upstream], float]:
+    share = others_share(path.loads, service.name, path.homes)
+    opened = path.table.open_by_number
+    others = path.loads.others_by_number
+
+    def load_of(upstream: Upstream) -> float:
+        number = upstream.number
+        flows = opened.get(number, 0) + share * others.get(number, 0)
+        return flows / upstream.connections
+
+    return load_of
+
+
+def _recover_flow(
+    path: PacketPath,
+    service: Service,
+    digest: int,
+) -> Upstream | None:
+    """Take a flow up again whose home is lost: it was on its default.
+
+    It stays half-open until its next packet, so that stray packets cannot
+    fill the table.
+    """
+    table = path.table
+    upstream = choose_default(digest, service.accepting)
+    if upstream is not None and _has_room(path):
         record_flow(table, digest, upstream.number, HALF_OPEN, path.tick)
     return upstream
 
 
+def _has_room(path: PacketPath) -> bool:
+    table = path.table
+    if table.count_by_phase[HALF_OPEN] >= path.half_open_limit:
+        return False
+    return len(table) < table.limit
+
+
 def _forward(path: PacketPath, packet: bytes, upstream: Upstream) -> None:
     path.counts[Outcome.FORWARDED] += 1
     path.senders.forward(packet, upstream.tunnel)
--- a/marlbend/packets/receive.py
+++ b/marlbend/packets/receive.py
@@ -46,10 +46,12 @@
 def start_reading(
     endpoint: socket.socket,
     receive: Callable[[bytes], None],
+    wake: Callable[[], None],
 ) -> None:
-    """Call `receive` for each datagram from now on."""
+    """Call `receive` for each datagram, `wake` before each batch."""
 
     def drain() -> None:
+        wake()
         read = endpoint.recv
         try:
             for _ in range(BATCH_DATAGRAMS):
@@ -63,10 +65,12 @@
 def start_reading_senders(
     endpoint: socket.socket,
     receive: Callable[[bytes, Address], None],
+    wake: Callable[[], None],
 ) -> None:
-    """Call `receive` for each datagram and its sender from now on."""
+    """Do the same, with the sender of each datagram."""
 
     def drain() -> None:
+        wake()
         read = endpoint.recvfrom
         try:
             for _ in range(BATCH_DATAGRAMS):
--- a/marlbend/upstreams/__init__.py
+++ b/marlbend/upstreams/__init__.py
@@ -1,5 +1,6 @@
-"""Know the upstreams of each service."""
+"""Know the upstreams of each service and their load."""
 
+from marlbend.upstreams.load import Loads
 from marlbend.upstreams.pool import Upstream, UpstreamPool
 
-__all__ = ('Upstream', 'UpstreamPool')
+__all__ = ('Loads', 'Upstream', 'UpstreamPool')
--- /dev/null
+++ b/marlbend/wire/control.py
@@ -0,0 +1,28 @@
+"""Encode and decode every datagram of the control port."""
+
+from typing import Final
+
+import msgspec
+
+from marlbend.wire.copies import Copies, LoadReport
+from marlbend.wire.liveness import Ack, Ping, PingRequest
+
+__all__ = ('ControlMessage', 'decode', 'encode')
+
+ControlMessage = Ping | Ack | PingRequest | Copies | LoadReport
+
+_decoder: Final = msgspec.msgpack.Decoder(ControlMessage)
+_encoder: Final = msgspec.msgpack.Encoder()
+
+
+def encode(message: ControlMessage) -> bytes:
+    """Return the datagram of a message."""
+    return _encoder.encode(message)
+
+
+def decode(datagram: bytes) -> ControlMessage | None:
+    """Return the message, or nothing for bytes that are none."""
+    try:
+        return _decoder.decode(datagram)
+    except msgspec.DecodeError:
+        return None
--- a/marlbend/wire/liveness.py
+++ b/marlbend/wire/liveness.py
@@ -1,18 +1,22 @@
 """Define the datagrams by which instances see that others are alive."""
 
-from typing import Final
-
 import msgspec
 
 from marlbend.members.member import Member
 
-__all__ = ('Ack', 'Message', 'Ping', 'PingRequest', 'decode', 'encode')
+__all__ = ('Ack', 'Message', 'Ping', 'PingRequest')
 
 
 class Ping(msgspec.Struct, frozen=True, array_like=True, tag=1):
-    """Ask an instance for an acknowledgement and bring it news."""
+    """Ask an instance for an acknowledgement and bring it news.
+
+    `view` is the digest of the sender's view and `config` the version of its
+    configuration.
+    """
 
     sequence: int
+    view: int
+    config: int
     news: tuple[Member, ...] = ()
 
 
@@ -20,6 +24,8 @@
     """Acknowledge a ping and bring news back."""
 
     sequence: int
+    view: int
+    config: int
     news: tuple[Member, ...] = ()
 
 
@@ -32,19 +38,3 @@
 
 
 Message = Ping | Ack | PingRequest
-
-_decoder: Final = msgspec.msgpack.Decoder(Message)
-_encoder: Final = msgspec.msgpack.Encoder()
-
-
-def encode(message: Message) -> bytes:
-    """Return the datagram of a message."""
-    return _encoder.encode(message)
-
-
-def decode(datagram: bytes) -> Message | None:
-    """Return the message, or nothing for bytes that are none."""
-    try:
-        return _decoder.decode(datagram)
-    except msgspec.DecodeError:
-        return None
--- a/marlbend/wire/messages.py
+++ b/marlbend/wire/messages.py
@@ -6,13 +6,16 @@
 
 import msgspec
 
+from marlbend.config import Configuration
 from marlbend.members.member import Member
+from marlbend.wire.flows import FlowGroup
 
 __all__ = (
-    'FlowGroup',
     'HandOver',
     'HandOverReply',
     'MemberStatus',
+    'Snapshot',
+    'SnapshotRequest',
     'Status',
     'StatusRequest',
 )
@@ -54,6 +57,8 @@
     half_open_flows: int
     closing_flows: int
     flows_taken: int
+    departing_flows: int
+    replicas: int
     flows_by_upstream: dict[str, int]
     control_bytes_sent: int
     control_bytes_received: int
@@ -62,21 +67,28 @@
     resident_bytes: int
 
 
-class FlowGroup(msgspec.Struct, frozen=True, array_like=True):
-    """Carry flows that share an upstream and a phase, by digest."""
-
-    service: str
-    address: str
-    port: int
-    phase: int
-    digests: tuple[int, ...]
-
-
 class HandOver(msgspec.Struct, frozen=True):
-    """Give flows to their new home."""
+    """Give flows to their new home.
+
+    `completed_view` is the digest of the view for which the sender has now
+    given everything to this receiver, or zero while more is to come.
+    """
 
     sender: Member
     groups: tuple[FlowGroup, ...]
+    completed_view: int = 0
+
+
+class SnapshotRequest(msgspec.Struct, frozen=True):
+    """Ask an instance for its view and its configuration."""
+
+
+class Snapshot(msgspec.Struct, frozen=True):
+    """Tell a joining instance what it needs to take part."""
+
+    members: tuple[Member, ...]
+    config_version: int
+    configuration: Configuration
 
 
 class HandOverReply(msgspec.Struct, frozen=True):
--- a/marlbend/wire/rpc.py
+++ b/marlbend/wire/rpc.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Awaitable, Callable
-from typing import Any, Final, TypeVar
+from typing import Any, Final, TypeVar, final
 
 import grpc
 import msgspec
@@ -16,11 +16,19 @@
 from marlbend.wire.messages import (
     HandOver,
     HandOverReply,
+    Snapshot,
+    SnapshotRequest,
     Status,
     StatusRequest,
 )
 
-__all__ = ('call_hand_over', 'call_status', 'start_server')
+__all__ = (
+    'Handlers',
+    'call_hand_over',
+    'call_snapshot',
+    'call_status',
+    'start_server',
+)
 
 _Request = TypeVar('_Request', bound=msgspec.Struct)
 _Reply = TypeVar('_Reply', bound=msgspec.Struct)
@@ -28,6 +36,7 @@
 SERVICE_NAME: Final = 'marlbend.Instance'
 STATUS_METHOD: Final = 'Status'
 HAND_OVER_METHOD: Final = 'HandOver'
+SNAPSHOT_METHOD: Final = 'Snapshot'
 CALL_TIMEOUT_SECONDS: Final = 3.0
 MESSAGE_BYTES: Final = 4_194_304
 
@@ -39,20 +48,38 @@
 _encode: Final = msgspec.msgpack.encode
 
 
+@final
+class Handlers:
+    """Hold the function that answers each method."""
+
+    __slots__ = ('hand_over', 'snapshot', 'status')
+
+    def __init__(
+        self,
+        status: Callable[[StatusRequest], Awaitable[Status]],
+        hand_over: Callable[[HandOver], Awaitable[HandOverReply]],
+        snapshot: Callable[[SnapshotRequest], Awaitable[Snapshot]],
+    ) -> None:
+        """Keep the three."""
+        self.status = status
+        self.hand_over = hand_over
+        self.snapshot = snapshot
+
+
 async def start_server(
     address: str,
     port: int,
-    on_status: Callable[[StatusRequest], Awaitable[Status]],
-    on_hand_over: Callable[[HandOver], Awaitable[HandOverReply]],
+    handlers: Handlers,
 ) -> grpc.aio.Server:
-    """Serve both methods; raise ADDRESS_IN_USE if the port is taken."""
+    """Serve every method; raise ADDRESS_IN_USE if the port is taken."""
     server = grpc.aio.server(options=_OPTIONS)
-    handlers: dict[str, grpc.RpcMethodHandler[Any, Any]] = {
-        STATUS_METHOD: _make_handler(on_status, StatusRequest),
-        HAND_OVER_METHOD: _make_handler(on_hand_over, HandOver),
+    by_method: dict[str, grpc.RpcMethodHandler[Any, Any]] = {
+        STATUS_METHOD: _make_handler(handlers.status, StatusRequest),
+        HAND_OVER_METHOD: _make_handler(handlers.hand_over, HandOver),
+        SNAPSHOT_METHOD: _make_handler(handlers.snapshot, SnapshotRequest),
     }
     server.add_generic_rpc_handlers(
-        (grpc.method_handlers_generic_handler(SERVICE_NAME, handlers),)
+        (grpc.method_handlers_generic_handler(SERVICE_NAME, by_method),)
     )
     try:
         server.add_insecure_port(f'{address}:{port}')
@@ -72,6 +99,13 @@
     )
 
 
+async def call_snapshot(address: str, port: int, name: str) -> Snapshot:
+    """Ask an instance what it knows; raise INSTANCE_UNREACHABLE."""
+    return await _call(
+        f'{address}:{port}', name, SNAPSHOT_METHOD, SnapshotRequest(), Snapshot
+    )
+
+
 async def call_hand_over(
     address: str,
     port: int,
