Follow chains of earlier homes, and refuse flows that belong elsewhere

Cause: in a rolling replacement slots move twice within the time of one hand-over. A daemon also died when news was picked of an instance whose record had been dropped. Change: a slot remembers a chain of earlier owners; a receiver refuses what it is not home for by its own view; completeness is tied to view and configuration and waits for earlier owners; records of departed instances stay for five minutes.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -10,7 +10,9 @@
 import msgspec
 
 from bench.cost import run_cost
+from bench.crash import run_crash
 from bench.demo import DemoReport, run_demo
+from bench.planned import run_planned
 from bench.steady import run_steady
 
 __all__ = ('run',)
@@ -20,7 +22,9 @@
 MEASUREMENTS: Final[Mapping[str, Measurement]] = MappingProxyType(
     {
         'cost': run_cost,
+        'crash': run_crash,
         'demo': run_demo,
+        'planned': run_planned,
         'steady': run_steady,
     }
 )
--- a/bench/callers.py
+++ b/bench/callers.py
@@ -105,9 +105,19 @@
 
 @final
 class Callers:
-    """Hold the hosts of the callers and every flow they ever had."""
+    """Hold the hosts of the callers and every flow they ever had.
 
-    __slots__ = ('_next', 'fabric', 'flow_by_source', 'flows', 'sockets')
+    `lost_at` are the monotonic times of packets that got no answer.
+    """
+
+    __slots__ = (
+        '_next',
+        'fabric',
+        'flow_by_source',
+        'flows',
+        'lost_at',
+        'sockets',
+    )
 
     def __init__(self, fabric: Fabric) -> None:
         """Start without hosts."""
@@ -115,6 +125,7 @@
         self.sockets: dict[str, socket.socket] = {}
         self.flow_by_source: dict[Endpoint, Flow] = {}
         self.flows: list[Flow] = []
+        self.lost_at: list[float] = []
         self._next = 0
 
     def new_flow(self, plan: FlowPlan) -> Flow:
@@ -196,8 +207,10 @@
     )
     for _ in range(ATTEMPTS):
         _spray(callers, flow, packet)
+        sent_at = time.monotonic()
         if await _wait_for_answer(flow):
             return not flow.fault
+        callers.lost_at.append(sent_at)
     return False
 
 
--- a/bench/changes.py
+++ b/bench/changes.py
@@ -13,20 +13,24 @@
     publish,
     tell_fabric,
     wait_in_force,
-    wait_until_serving,
+    wait_until_home,
     write_instances,
 )
+from marlbend.config import UpstreamSpec
 
 __all__ = (
     'change_upstream',
     'join_instance',
     'kill_instance',
     'publish_and_time',
+    'replace_upstreams',
+    'roll_instances',
     'stop_instance',
 )
 
 # The fabric learns of a leaving instance this long after it began to leave.
 FABRIC_LAG_SECONDS: Final = 1.0
+ROLL_PAUSE_SECONDS: Final = 0.5
 
 
 async def publish_and_time(stage: Stage) -> float:
@@ -58,7 +62,7 @@
     """Start an instance and return its name once all serve."""
     name = await add_instance(stage, domain)
     await write_instances(stage)
-    await wait_until_serving(stage)
+    await wait_until_home(stage, name)
     return name
 
 
@@ -82,6 +86,27 @@
     await _delist(stage, name)
 
 
+def replace_upstreams(
+    stage: Stage,
+    service: str,
+    upstreams: tuple[UpstreamSpec, ...],
+) -> None:
+    """Change the upstreams of a service file; publish it to take effect."""
+    stage.specs[service] = msgspec.structs.replace(
+        stage.specs[service], upstreams=upstreams
+    )
+
+
+async def roll_instances(stage: Stage) -> None:
+    """Replace every instance by a new one of its domain, one by one."""
+    stops = []
+    for listed in tuple(stage.listed.values()):
+        await join_instance(stage, listed.domain)
+        stops.append(asyncio.create_task(stop_instance(stage, listed.name)))
+        await asyncio.sleep(ROLL_PAUSE_SECONDS)
+    await asyncio.gather(*stops)
+
+
 async def _delist(stage: Stage, name: str) -> None:
     stage.listed.pop(name)
     tell_fabric(stage, tuple(stage.listed))
--- a/bench/load.py
+++ b/bench/load.py
@@ -14,8 +14,10 @@
     'Background',
     'count_broken',
     'count_late',
+    'count_refused',
     'finish_background',
     'hash_imbalance',
+    'last_opened',
     'measure_imbalance',
     'start_background',
     'start_flows',
@@ -101,6 +103,19 @@
     )
 
 
+def last_opened(callers: Callers, upstream: str) -> float:
+    """Return the monotonic time of an upstream's latest flow."""
+    return max(
+        (flow.opened_at for flow in callers.flows if flow.upstream == upstream),
+        default=0,
+    )
+
+
+def count_refused(callers: Callers) -> int:
+    """Count the flows that could not be opened."""
+    return sum(bool(flow.fault) and not flow.opened for flow in callers.flows)
+
+
 async def wait_for_open(callers: Callers, flows: int) -> list[Flow]:
     """Wait until so many flows are open, or time is up; return them."""
     try:
--- /dev/null
+++ b/bench/planned.py
@@ -0,0 +1,121 @@
+"""Measure planned changes, one after another, under load."""
+
+import asyncio
+import time
+from typing import Final
+
+import msgspec
+
+from bench.callers import FlowPlan
+from bench.changes import (
+    change_upstream,
+    join_instance,
+    publish_and_time,
+    replace_upstreams,
+    roll_instances,
+    stop_instance,
+)
+from bench.load import (
+    Background,
+    count_refused,
+    finish_background,
+    last_opened,
+    start_background,
+)
+from bench.stage import Stage, end_upstreams, open_stage
+from marlbend.config import UpstreamSpec
+
+__all__ = ('PlannedReport', 'run_planned')
+
+DEPLOYMENT: Final = 'consortium'
+SERVICE: Final = 'catalog'
+DRAINED: Final = 'catalog-2'
+INSTANCES: Final = 8
+LONG_FLOWS: Final = 2000
+LONG_REQUESTS: Final = 18
+LONG_PAUSE_SECONDS: Final = 1.5
+SHORT_FLOWS_A_SECOND: Final = 500
+PAUSE_SECONDS: Final = 1.0
+DRAIN_SECONDS: Final = 3.0
+
+
+class PlannedReport(msgspec.Struct, frozen=True):
+    """Report planned changes.
+
+    `seconds_to_no_new_work` is the time from the acceptance of a drain to the
+    last new flow of the drained upstream.
+    """
+
+    flows: int
+    broken: int
+    refused: int
+    misdelivered: int
+    seconds_to_no_new_work: float
+    seconds_in_force: float
+    faults: dict[str, int]
+
+
+async def run_planned(seed: int) -> PlannedReport:
+    """Make every kind of planned change while flows are open."""
+    async with open_stage(DEPLOYMENT, INSTANCES, seed) as stage:
+        return await _measure(stage)
+
+
+async def _measure(stage: Stage) -> PlannedReport:
+    every = stage.specs[SERVICE].upstreams
+    replace_upstreams(stage, SERVICE, every[:-1])
+    await publish_and_time(stage)
+    background = Background(stage.callers)
+    await start_background(
+        background,
+        [FlowPlan(stage.endpoint(SERVICE), LONG_REQUESTS, LONG_PAUSE_SECONDS)]
+        * LONG_FLOWS,
+        FlowPlan(stage.endpoint(SERVICE), 1, 0),
+        SHORT_FLOWS_A_SECOND,
+    )
+    drain = await _drain(stage, every)
+    await _change_instances(stage)
+    faults = await finish_background(background)
+    counts = await end_upstreams(stage)
+    return PlannedReport(
+        flows=len(stage.callers.flows),
+        broken=faults.total(),
+        refused=count_refused(stage.callers),
+        misdelivered=sum(count.misdelivered for count in counts.values()),
+        seconds_to_no_new_work=drain.no_new_work,
+        seconds_in_force=drain.in_force,
+        faults=dict(faults),
+    )
+
+
+class _Drain(msgspec.Struct, frozen=True):
+    """Give the seconds a drain took to be in force and to take effect."""
+
+    in_force: float
+    no_new_work: float
+
+
+async def _drain(
+    stage: Stage,
+    every: tuple[UpstreamSpec, ...],
+) -> _Drain:
+    """Drain one upstream, then add the one that was left out."""
+    change_upstream(stage, SERVICE, DRAINED, draining=True)
+    started = time.monotonic()
+    in_force = await publish_and_time(stage)
+    await asyncio.sleep(DRAIN_SECONDS)
+    last = last_opened(stage.callers, DRAINED)
+    added = msgspec.structs.replace(every[-1], draining=False)
+    replace_upstreams(stage, SERVICE, (*stage.specs[SERVICE].upstreams, added))
+    await publish_and_time(stage)
+    await asyncio.sleep(PAUSE_SECONDS)
+    return _Drain(in_force, max(0, last - started))
+
+
+async def _change_instances(stage: Stage) -> None:
+    first = next(iter(stage.listed))
+    await join_instance(stage, stage.listed[first].domain)
+    await asyncio.sleep(PAUSE_SECONDS)
+    await stop_instance(stage, first)
+    await asyncio.sleep(PAUSE_SECONDS)
+    await roll_instances(stage)
--- a/bench/stage.py
+++ b/bench/stage.py
@@ -69,6 +69,7 @@
         'publications',
         'slot_count',
         'specs',
+        'started',
     )
 
     def __init__(self, seed: int) -> None:
@@ -81,6 +82,7 @@
         self.listed: dict[str, ListedInstance] = {}
         self.specs: dict[str, ServiceSpec] = {}
         self.publications = 0
+        self.started = 0
         self.slot_count = SLOT_COUNT
 
     def address(self, net: int, host: int) -> str:
@@ -145,7 +147,8 @@
 
 async def add_instance(stage: Stage, domain: str) -> str:
     """Start one more instance and return its name."""
-    number = len(stage.listed) + 1
+    stage.started += 1
+    number = stage.started
     name = f'i{number}'
     listed = ListedInstance(
         name=name,
@@ -197,22 +200,30 @@
 
 async def wait_until_serving(stage: Stage) -> None:
     """Wait until all instances serve and see each other; tell the fabric."""
-    expected = len(stage.listed)
     async with asyncio.timeout(START_SECONDS):
-        while True:
-            statuses = await ask_statuses(stage)
-            ready = [
-                status
-                for status in statuses.values()
-                if status.state == 'serving'
-                and _count_homes(status) == expected
-            ]
-            if len(ready) == expected:
-                break
+        for name in stage.listed:
+            await wait_until_home(stage, name)
+
+
+async def wait_until_home(stage: Stage, name: str) -> None:
+    """Wait until all instances know an instance as a home; tell the fabric."""
+    async with asyncio.timeout(START_SECONDS):
+        while not await _is_home_everywhere(stage, name):
             await asyncio.sleep(POLL_SECONDS)
     tell_fabric(stage, tuple(stage.listed))
 
 
+async def _is_home_everywhere(stage: Stage, name: str) -> bool:
+    statuses = await ask_statuses(stage)
+    shares = [
+        member.home_share
+        for status in statuses.values()
+        for member in status.members
+        if member.name == name
+    ]
+    return len(shares) == len(statuses) and min(shares, default=0) > 0
+
+
 async def wait_in_force(stage: Stage, version: int) -> None:
     """Wait until a configuration is in force at every instance."""
     async with asyncio.timeout(START_SECONDS):
@@ -292,7 +303,3 @@
         return await call_status(listed.address, listed.admin_port, listed.name)
     except MarlbendError:
         return None
-
-
-def _count_homes(status: Status) -> int:
-    return sum(member.home_share > 0 for member in status.members)
--- a/marlbend/daemon/following.py
+++ b/marlbend/daemon/following.py
@@ -17,7 +17,7 @@
 from marlbend.errors import MarlbendError
 from marlbend.events import Event, emit
 from marlbend.members import Fleet, note_listed
-from marlbend.members.fleet import CHASE_SECONDS, forget_unlisted
+from marlbend.members.fleet import CHASE_SECONDS
 from marlbend.members.probe import announce, spread_config
 from marlbend.platform import StoredObject, follow_object
 from marlbend.platform.instances import INSTANCES_PATH, decode_instances
@@ -88,7 +88,6 @@
         emit(Event.CONFIG_REFUSED, error=error)
         return
     note_listed(instance.path.fleet, listed, time.monotonic())
-    forget_unlisted(instance.path.fleet)
 
 
 def put_in_force(
@@ -101,6 +100,7 @@
     active = instance.path.active
     if apply_configuration(active, version, document, now + CHASE_SECONDS):
         instance.config_since = now
+        instance.path.fleet.config_version = version
         emit(Event.CONFIG_IN_FORCE, version=version)
         instance.outbox.send_letters(spread_config(instance.prober, version))
 
--- a/marlbend/daemon/instance.py
+++ b/marlbend/daemon/instance.py
@@ -23,6 +23,7 @@
 from marlbend.events import Event, emit
 from marlbend.flows.table import SHARD_COUNT, sweep_shard
 from marlbend.members import MemberState
+from marlbend.members.fleet import forget_departed
 from marlbend.members.probe import announce, farewell, step
 from marlbend.packets.path import keep_time
 from marlbend.upstreams.load import settle_rates
@@ -77,6 +78,7 @@
         path = instance.path
         keep_time(path, time.monotonic())
         settle_rates(path.loads)
+        forget_departed(path.fleet, path.now)
         for _ in range(SHARDS_A_TICK):
             sweep_shard(path.table, shard, path.tick, instance.timeouts)
             shard = (shard + 1) % SHARD_COUNT
--- a/marlbend/daemon/transfer.py
+++ b/marlbend/daemon/transfer.py
@@ -12,7 +12,7 @@
 
 import asyncio
 from collections import defaultdict
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Final, final
 
 from marlbend.config import Service
@@ -24,22 +24,25 @@
     find_moves,
     forget_flows,
     group_flows,
-    take_groups,
+    split_group,
+    take_flows,
 )
 from marlbend.flows.replicas import adopt_orphans
 from marlbend.flows.table import SHARD_COUNT
 from marlbend.members import Fleet, Member, home_of, live_members
-from marlbend.members.homes import receivers_of_moves
+from marlbend.members.fleet import view_mark
+from marlbend.members.homes import is_complete_for, receivers_of_moves
 from marlbend.members.member import MemberState
 from marlbend.packets import PacketPath
 from marlbend.upstreams.load import drop_reports
+from marlbend.wire.flows import FlowGroup
 from marlbend.wire.messages import HandOver, HandOverReply
 from marlbend.wire.rpc import call_hand_over
 
 __all__ = ('take_hand_over', 'transfer_flows')
 
 POLL_SECONDS: Final = 0.05
-RETRY_SECONDS: Final = 0.5
+RETRY_SECONDS: Final = 0.1
 CHUNK_FLOWS: Final = 8000
 
 
@@ -74,10 +77,19 @@
 
 
 def take_hand_over(instance: Instance, message: HandOver) -> HandOverReply:
-    """Take the flows that another instance gives."""
+    """Take the flows that another instance gives.
+
+    Only those are taken whose home this instance is by its own view.  The
+    sender keeps the others, and is asked for them meanwhile.
+    """
     path = instance.path
-    taken = take_groups(path.active, path.table, message.groups, path.tick)
     sender = message.sender.name
+    taken = 0
+    refused: list[int] = []
+    for group in message.groups:
+        kept, elsewhere = split_group(group, _make_home_test(path, group))
+        taken += take_flows(path.active, path.table, group, kept, path.tick)
+        refused.extend(elsewhere)
     if taken:
         emit(Event.HANDOVER_TAKEN, flows=taken, name=sender)
     if message.completed_view:
@@ -85,7 +97,21 @@
         if message.sender.state == MemberState.LEAVING:
             # It has given what it had; its copies are out of date.
             instance.replicas.by_origin.pop(sender, None)
-    return HandOverReply(taken)
+    return HandOverReply(taken, tuple(refused))
+
+
+def _make_home_test(
+    path: PacketPath,
+    group: FlowGroup,
+) -> Callable[[int], bool]:
+    service = path.active.service_by_name.get(group.service)
+
+    def is_home(digest: int) -> bool:
+        if service is None:
+            return False
+        return home_of(path.fleet, service, digest) is path.fleet.myself
+
+    return is_home
 
 
 def _enter_view(instance: Instance) -> None:
@@ -122,7 +148,7 @@
     def find_home(service: Service, digest: int) -> Member | None:
         return home_of(path.fleet, service, digest)
 
-    for name in receivers_of_moves(path.fleet):
+    for name in receivers_of_moves(path.fleet, path.now):
         collected[name] = []
     for shard in range(SHARD_COUNT):
         moves = find_moves(path.active, path.table, shard, find_home)
@@ -135,11 +161,13 @@
 
 async def _send_moves(path: PacketPath, moves: Mapping[str, list[int]]) -> bool:
     """Send to every receiver at once; tell if all have confirmed."""
-    view = path.fleet.digest
+    view = view_mark(path.fleet)
+    known = path.fleet.member_by_name
     confirmed = await asyncio.gather(
         *(
-            _send_to(path, path.fleet.member_by_name[name], digests, view)
+            _send_to(path, known[name], digests, view)
             for name, digests in moves.items()
+            if name in known and known[name].state != MemberState.GONE
         )
     )
     return all(confirmed)
@@ -154,20 +182,25 @@
     for start in range(0, len(digests), CHUNK_FLOWS):
         chunk = digests[start : start + CHUNK_FLOWS]
         groups = tuple(group_flows(path.active, path.table, chunk))
-        if not await _confirm(receiver, HandOver(path.fleet.myself, groups)):
+        reply = await _give(receiver, HandOver(path.fleet.myself, groups))
+        if reply is None:
+            return False
+        forget_flows(path.table, set(chunk) - set(reply.refused))
+        if reply.refused:
             return False
-        forget_flows(path.table, chunk)
     if digests:
         emit(Event.HANDOVER_SENT, flows=len(digests), name=receiver.name)
-    return await _confirm(receiver, HandOver(path.fleet.myself, (), view))
+    if not is_complete_for(path.fleet, receiver.name, path.now):
+        return False
+    last = HandOver(path.fleet.myself, (), view)
+    return await _give(receiver, last) is not None
 
 
-async def _confirm(receiver: Member, message: HandOver) -> bool:
+async def _give(receiver: Member, message: HandOver) -> HandOverReply | None:
     try:
-        await call_hand_over(
+        return await call_hand_over(
             receiver.address, receiver.admin_port, receiver.name, message
         )
     except MarlbendError as error:
         emit(Event.HANDOVER_FAILED, error=error)
-        return False
-    return True
+        return None
--- a/marlbend/events.py
+++ b/marlbend/events.py
@@ -29,6 +29,12 @@
     PLATFORM_LOST = (300, logging.WARNING, 'platform lost: {error}')
     PLATFORM_BACK = (301, logging.INFO, 'platform answers again')
     VIEW_CHANGED = (400, logging.INFO, 'view {version}: {members}')
+    INSTANCE_GONE = (401, logging.WARNING, 'instance {name} is gone')
+    SELF_DOUBTED = (
+        402,
+        logging.WARNING,
+        'others held this instance to be {state}',
+    )
     HANDOVER_SENT = (500, logging.INFO, '{flows} flows handed over to {name}')
     HANDOVER_TAKEN = (501, logging.INFO, '{flows} flows taken from {name}')
     REPLICAS_ADOPTED = (
--- a/marlbend/flows/handover.py
+++ b/marlbend/flows/handover.py
@@ -6,14 +6,16 @@
 """
 
 from collections import defaultdict
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 
 from marlbend.config import ActiveConfig, Service
+from marlbend.flows.choice import choose_default
 from marlbend.flows.table import (
     FlowTable,
     entry_phase,
     entry_upstream,
     iterate_shard,
+    mark_departure,
     record_flow,
     remove_flow,
 )
@@ -26,7 +28,8 @@
     'find_moves',
     'forget_flows',
     'group_flows',
-    'take_groups',
+    'split_group',
+    'take_flows',
 )
 
 HomeOf = Callable[[Service, int], Member | None]
@@ -70,28 +73,44 @@
         )
 
 
-def take_groups(
+def split_group(
+    group: FlowGroup,
+    is_home: Callable[[int], bool],
+) -> tuple[list[int], list[int]]:
+    """Return the digests of a group that belong here, and the others."""
+    kept: list[int] = []
+    refused: list[int] = []
+    for digest in group.digests:
+        (kept if is_home(digest) else refused).append(digest)
+    return kept, refused
+
+
+def take_flows(
     active: ActiveConfig,
     table: FlowTable,
-    groups: Sequence[FlowGroup],
+    group: FlowGroup,
+    digests: Sequence[int],
     tick: int,
 ) -> int:
     """Record flows given by another instance; return how many were new.
 
     A flow known here already is kept as it is: it may have moved on.
     """
+    upstream = active.pool.intern(group.service, group.address, group.port)
+    service = active.service_by_name.get(group.service)
+    accepting = () if service is None else service.accepting
     taken = 0
-    for group in groups:
-        upstream = active.pool.intern(group.service, group.address, group.port)
-        for digest in group.digests:
-            if table.find(digest) is None:
-                record_flow(table, digest, upstream.number, group.phase, tick)
-                taken += 1
+    for digest in digests:
+        if table.find(digest) is None:
+            record_flow(table, digest, upstream.number, group.phase, tick)
+            if choose_default(digest, accepting) is not upstream:
+                mark_departure(table, digest)
+            taken += 1
     table.taken += taken
     return taken
 
 
-def forget_flows(table: FlowTable, digests: Sequence[int]) -> None:
+def forget_flows(table: FlowTable, digests: Iterable[int]) -> None:
     """Remove flows that their new home has confirmed."""
     for digest in digests:
         remove_flow(table, digest)
--- a/marlbend/members/fleet.py
+++ b/marlbend/members/fleet.py
@@ -22,13 +22,18 @@
     'CHASE_SECONDS',
     'Fleet',
     'apply_member',
-    'forget_unlisted',
+    'forget_departed',
     'live_members',
     'note_listed',
+    'view_mark',
 )
 
 # For this long after a slot moved its previous owner is asked first.
 CHASE_SECONDS: Final = 15.0
+# News of an instance has long died out after this time.
+TOMBSTONE_SECONDS: Final = 300.0
+
+_DEPARTED_STATES: Final = frozenset((MemberState.LEAVING, MemberState.GONE))
 
 
 @final
@@ -37,11 +42,14 @@
 
     `version` counts the changes of this view; it is local to the instance.
     `digest` is equal for equal sets of homes.  `completed_by_name` holds the
-    digest of the view for which an instance has handed everything over.
+    mark of the view for which an instance has handed everything over, and
+    `departed_at` the monotonic time at which one was heard to have departed.
     """
 
     __slots__ = (
         'completed_by_name',
+        'config_version',
+        'departed_at',
         'digest',
         'listed',
         'member_by_name',
@@ -58,11 +66,13 @@
         self.slot_count = slot_count
         self.version = 0
         self.digest = 0
+        self.config_version = 0
         self.listed: frozenset[str] = frozenset()
         self.member_by_name: dict[str, Member] = {}
         self.member_by_relay: dict[tuple[str, int], Member] = {}
         self.slots_by_domain: dict[str, SlotTable] = {}
         self.completed_by_name: dict[str, int] = {}
+        self.departed_at: dict[str, float] = {}
 
 
 def apply_member(fleet: Fleet, member: Member, now: float) -> bool:
@@ -82,6 +92,10 @@
     if member.name == fleet.myself.name:
         fleet.myself = member
     fleet.version += 1
+    if member.state in _DEPARTED_STATES:
+        fleet.departed_at[member.name] = now
+    else:
+        fleet.departed_at.pop(member.name, None)
     return True
 
 
@@ -94,19 +108,28 @@
             apply_member(fleet, member, now)
 
 
-def forget_unlisted(fleet: Fleet) -> int:
-    """Drop the records of instances that are gone and listed no more."""
+def forget_departed(fleet: Fleet, now: float) -> int:
+    """Drop records of instances that departed long ago; return how many.
+
+    Until then they stay, since older news of them may still travel.
+    """
     dropped = [
         name
-        for name, member in fleet.member_by_name.items()
-        if member.state == MemberState.GONE and name not in fleet.listed
+        for name, departed in fleet.departed_at.items()
+        if now - departed > TOMBSTONE_SECONDS and name not in fleet.listed
     ]
     for name in dropped:
+        fleet.departed_at.pop(name)
         fleet.member_by_name.pop(name)
         fleet.completed_by_name.pop(name, None)
     return len(dropped)
 
 
+def view_mark(fleet: Fleet) -> int:
+    """Return a number that is equal where every flow has the same home."""
+    return fleet.digest ^ hash_text(str(fleet.config_version))
+
+
 def live_members(fleet: Fleet) -> list[Member]:
     """Return the instances that are home to flows, sorted by name."""
     return [
--- a/marlbend/members/homes.py
+++ b/marlbend/members/homes.py
@@ -10,11 +10,17 @@
 from typing import Final
 
 from marlbend.config import Service
-from marlbend.members.fleet import Fleet
+from marlbend.members.fleet import Fleet, view_mark
 from marlbend.members.member import Member, MemberState
 from marlbend.members.slots import SlotTable
 
-__all__ = ('heir_of', 'home_of', 'previous_home', 'receivers_of_moves')
+__all__ = (
+    'heir_of',
+    'home_of',
+    'is_complete_for',
+    'previous_home',
+    'receivers_of_moves',
+)
 
 SLOT_SHIFT: Final = 20
 BUCKET_SHIFT: Final = 52
@@ -48,55 +54,102 @@
     digest: int,
     now: float,
 ) -> Member | None:
-    """Return who may know a flow that its home does not know.
+    """Return who may know a flow that is not known here.
 
-    That is the previous owner of its slot, or its home before the service
-    moved to other domains, unless that one has handed everything over.
+    Those are the earlier owners of its slot, before this instance if it is one
+    of them, and its home before the service moved to other domains; but nobody
+    who has handed everything over.
     """
     slot = (service.slot_base + (digest >> SLOT_SHIFT)) % fleet.slot_count
     bucket = digest >> BUCKET_SHIFT
     table = fleet.slots_by_domain.get(service.domain_by_bucket[bucket])
-    name = '' if table is None else _predecessor_name(table, slot, now)
-    if name:
-        return _find_useful(fleet, name)
+    if table is not None:
+        for name in _names_before(fleet, table, slot, now):
+            if is_useful(fleet, name):
+                return fleet.member_by_name[name]
     if service.previous_until <= now:
         return None
     earlier = fleet.slots_by_domain.get(service.previous_by_bucket[bucket])
     owner = None if earlier is None else earlier.owners[slot]
-    return None if owner is None else _find_useful(fleet, owner.name)
+    if owner is None or not is_useful(fleet, owner.name):
+        return None
+    return owner
+
 
+def receivers_of_moves(fleet: Fleet, now: float) -> set[str]:
+    """Return the names of those that came after this instance in a slot.
 
-def receivers_of_moves(fleet: Fleet) -> set[str]:
-    """Return the names of those that own slots which this instance owned."""
+    Each of them may ask here, and waits to hear that it need not.
+    """
     names: set[str] = set()
+    myself = fleet.myself.name
+    for table in fleet.slots_by_domain.values():
+        for slot, chain in table.predecessors_by_slot.items():
+            earlier = [
+                predecessor.name
+                for predecessor in chain
+                if predecessor.until > now
+            ]
+            if myself in earlier:
+                names.update(earlier[: earlier.index(myself)])
+                names.update(_owner_names(table, slot))
+    return names - {myself}
+
+
+def is_complete_for(fleet: Fleet, receiver: str, now: float) -> bool:
+    """Tell whether nobody else may still give this instance flows of others.
+
+    Only then may it say that it has handed everything over: the slots that
+    went from here to the receiver must not wait for an earlier owner.
+    """
     for table in fleet.slots_by_domain.values():
-        for slot, predecessor in table.predecessor_by_slot.items():
-            owner = table.owners[slot]
-            if predecessor.name == fleet.myself.name and owner is not None:
-                names.add(owner.name)
-    return names - {fleet.myself.name}
+        for slot, owner in enumerate(table.owners):
+            if owner is None or owner.name != receiver:
+                continue
+            names = _names_before(fleet, table, slot, now)
+            if fleet.myself.name in _chain_names(table, slot) and any(
+                is_useful(fleet, name) for name in names
+            ):
+                return False
+    return True
+
+
+def is_useful(fleet: Fleet, name: str) -> bool:
+    """Tell whether an instance can be asked and has not given all away."""
+    member = fleet.member_by_name.get(name)
+    if member is None or member.state == MemberState.GONE:
+        return False
+    if name == fleet.myself.name:
+        return False
+    return fleet.completed_by_name.get(name) != view_mark(fleet)
 
 
-def _predecessor_name(table: SlotTable, slot: int, now: float) -> str:
-    predecessor = table.predecessor_by_slot.get(slot)
-    if predecessor is None:
-        return ''
-    if predecessor.until > now:
-        return predecessor.name
-    table.predecessor_by_slot.pop(slot)
-    return ''
+def _owner_names(table: SlotTable, slot: int) -> tuple[str, ...]:
+    owner = table.owners[slot]
+    return () if owner is None else (owner.name,)
 
 
-def _find_useful(fleet: Fleet, name: str) -> Member | None:
-    """Return an instance that can be asked and has not given all away."""
-    member = fleet.member_by_name.get(name)
-    if member is None or member.state == MemberState.GONE:
-        return None
-    if name == fleet.myself.name:
-        return None
-    if fleet.completed_by_name.get(name) == fleet.digest:
-        return None
-    return member
+def _chain_names(table: SlotTable, slot: int) -> list[str]:
+    chain = table.predecessors_by_slot.get(slot, ())
+    return [predecessor.name for predecessor in chain]
+
+
+def _names_before(
+    fleet: Fleet,
+    table: SlotTable,
+    slot: int,
+    now: float,
+) -> list[str]:
+    """Return the owners of a slot before this instance, latest first."""
+    names = [
+        predecessor.name
+        for predecessor in table.predecessors_by_slot.get(slot, ())
+        if predecessor.until > now
+    ]
+    myself = fleet.myself.name
+    if myself in names:
+        return names[names.index(myself) + 1 :]
+    return names
 
 
 def _owner_elsewhere(
--- a/marlbend/members/news.py
+++ b/marlbend/members/news.py
@@ -42,4 +42,4 @@
         left[name] -= 1
         if not left[name]:
             left.pop(name)
-    return tuple(map(fleet.member_by_name.__getitem__, names))
+    return tuple(filter(None, map(fleet.member_by_name.get, names)))
--- a/marlbend/members/probe.py
+++ b/marlbend/members/probe.py
@@ -17,6 +17,7 @@
 
 import msgspec
 
+from marlbend.events import Event, emit
 from marlbend.members.fleet import Fleet, apply_member
 from marlbend.members.member import HOME_STATES, Member, MemberState
 from marlbend.members.news import News, add_news, pick_news
@@ -246,6 +247,7 @@
     elif _contradicts(myself, member):
         # When it was held to be gone its slots have moved, and come back.
         apply_member(prober.fleet, member, now)
+        emit(Event.SELF_DOUBTED, state=member.state.name.lower())
         announce(prober, _outlive(myself, member), now)
 
 
@@ -291,8 +293,8 @@
             prober.round = _shuffled_names(prober)
         if not prober.round:
             return None
-        member = prober.fleet.member_by_name[prober.round.pop()]
-        if _is_worth_a_ping(prober, member):
+        member = prober.fleet.member_by_name.get(prober.round.pop())
+        if member is not None and _is_worth_a_ping(prober, member):
             return member
     return None
 
@@ -379,8 +381,8 @@
 
 
 def _suspect(prober: Prober, name: str, now: float) -> None:
-    member = prober.fleet.member_by_name[name]
-    if member.state == MemberState.LIVE:
+    member = prober.fleet.member_by_name.get(name)
+    if member is not None and member.state == MemberState.LIVE:
         suspect = msgspec.structs.replace(member, state=MemberState.SUSPECT)
         announce(prober, suspect, now)
 
@@ -395,6 +397,7 @@
         member = prober.fleet.member_by_name[suspect]
         gone = msgspec.structs.replace(member, state=MemberState.GONE)
         announce(prober, gone, now)
+        emit(Event.INSTANCE_GONE, name=suspect)
 
 
 def _control(member: Member) -> Address:
--- a/marlbend/members/slots.py
+++ b/marlbend/members/slots.py
@@ -5,8 +5,8 @@
 second highest is its heir, which would own the slot without the owner.  The
 scores are kept, so a join costs one hash for each slot, and a departure costs
 one hash for each slot it owned or was heir to and each member that remains: no
-other slot moves.  A slot that moved remembers its previous owner for a while,
-since that one may know flows which the new owner does not.
+other slot moves.  A slot that moved remembers its previous owners for a while,
+latest first, since they may know flows which the new owner does not.
 """
 
 from array import array
@@ -25,6 +25,9 @@
     'replace_member',
 )
 
+# More moves of a slot than this, in a short time, are not followed.
+CHAIN_LENGTH: Final = 4
+
 _SCORE_BYTES: Final = 8
 _SLOT_BYTES: Final = 4
 
@@ -51,7 +54,7 @@
         'member_by_name',
         'owner_scores',
         'owners',
-        'predecessor_by_slot',
+        'predecessors_by_slot',
     )
 
     def __init__(self, size: int) -> None:
@@ -61,7 +64,7 @@
         self.owner_scores = array('Q', bytes(size * _SCORE_BYTES))
         self.heir_scores = array('Q', bytes(size * _SCORE_BYTES))
         self.member_by_name: dict[str, Member] = {}
-        self.predecessor_by_slot: dict[int, Predecessor] = {}
+        self.predecessors_by_slot: dict[int, tuple[Predecessor, ...]] = {}
 
 
 def add_member(table: SlotTable, member: Member, until: float) -> None:
@@ -111,7 +114,14 @@
 ) -> None:
     previous = table.owners[slot]
     if previous is not None:
-        table.predecessor_by_slot[slot] = Predecessor(previous.name, until)
+        new_name = '' if owner is None else owner.name
+        earlier = (
+            predecessor
+            for predecessor in table.predecessors_by_slot.get(slot, ())
+            if predecessor.name not in {previous.name, new_name}
+        )
+        chain = (Predecessor(previous.name, until), *earlier)
+        table.predecessors_by_slot[slot] = chain[:CHAIN_LENGTH]
     table.owners[slot] = owner
     table.owner_scores[slot] = score
 
--- a/marlbend/packets/path.py
+++ b/marlbend/packets/path.py
@@ -211,12 +211,14 @@
     """Ask the previous home if it may know the flow, else decide."""
     kind, hops = head
     previous = None
-    if kind != _DECIDE and hops + _CHASE_HOPS <= HOP_LIMIT:
+    if kind != _DECIDE:
         previous = previous_home(path.fleet, service, digest, path.now)
     if path.catching_up:
         path.counts[Outcome.DROPPED_CATCHING_UP] += 1
     elif previous is None:
         _decide(path, packet, service, digest)
+    elif hops + _CHASE_HOPS > HOP_LIMIT:
+        path.counts[Outcome.DROPPED_HOP_LIMIT] += 1
     else:
         path.counts[Outcome.CHASED] += 1
         _relay(path, packet, _CHASE, hops, previous)
--- a/marlbend/platform/instances.py
+++ b/marlbend/platform/instances.py
@@ -53,7 +53,6 @@
 
 def _to_members(listed: InstanceList) -> Iterator[Member]:
     for entry in listed.instances:
-        live = entry.state == 'live'
         yield Member(
             name=entry.name,
             address=entry.address,
@@ -62,5 +61,5 @@
             relay_port=entry.relay_port,
             control_port=entry.control_port,
             admin_port=entry.admin_port,
-            state=MemberState.LIVE if live else MemberState.LEAVING,
+            state=MemberState.LISTED,
         )
--- a/marlbend/wire/messages.py
+++ b/marlbend/wire/messages.py
@@ -70,8 +70,8 @@
 class HandOver(msgspec.Struct, frozen=True):
     """Give flows to their new home.
 
-    `completed_view` is the digest of the view for which the sender has now
-    given everything to this receiver, or zero while more is to come.
+    `completed_view` is the mark of the view for which the sender has now given
+    everything to this receiver, or zero while more is to come.
     """
 
     sender: Member
@@ -92,6 +92,7 @@
 
 
 class HandOverReply(msgspec.Struct, frozen=True):
-    """Tell how many flows were taken."""
+    """Tell how many flows were taken, and which belong elsewhere."""
 
     taken: int
+    refused: tuple[int, ...] = ()
