Ask every earlier home before deciding

Cause: a flow may be known at an earlier owner of its slot or at its home in another failure domain. Change: a relayed packet counts the homes asked; the home asks one after another and decides only when none is left.

--- a/bench/changes.py
+++ b/bench/changes.py
@@ -30,7 +30,7 @@
 
 # The fabric learns of a leaving instance this long after it began to leave.
 FABRIC_LAG_SECONDS: Final = 1.0
-ROLL_PAUSE_SECONDS: Final = 0.5
+ROLL_PAUSE_SECONDS: Final = 0.2
 
 
 async def publish_and_time(stage: Stage) -> float:
--- a/bench/planned.py
+++ b/bench/planned.py
@@ -32,10 +32,10 @@
 DRAINED: Final = 'catalog-2'
 INSTANCES: Final = 8
 LONG_FLOWS: Final = 2000
-LONG_REQUESTS: Final = 18
+LONG_REQUESTS: Final = 24
 LONG_PAUSE_SECONDS: Final = 1.5
 SHORT_FLOWS_A_SECOND: Final = 500
-PAUSE_SECONDS: Final = 1.0
+PAUSE_SECONDS: Final = 0.5
 DRAIN_SECONDS: Final = 3.0
 
 
--- a/marlbend/members/__init__.py
+++ b/marlbend/members/__init__.py
@@ -6,7 +6,7 @@
     live_members,
     note_listed,
 )
-from marlbend.members.homes import heir_of, home_of, previous_home
+from marlbend.members.homes import earlier_homes, heir_of, home_of
 from marlbend.members.member import Member, MemberState
 
 __all__ = (
@@ -14,9 +14,9 @@
     'Member',
     'MemberState',
     'apply_member',
+    'earlier_homes',
     'heir_of',
     'home_of',
     'live_members',
     'note_listed',
-    'previous_home',
 )
--- a/marlbend/members/homes.py
+++ b/marlbend/members/homes.py
@@ -7,6 +7,7 @@
 latest change.
 """
 
+from collections.abc import Iterator
 from typing import Final
 
 from marlbend.config import Service
@@ -15,10 +16,11 @@
 from marlbend.members.slots import SlotTable
 
 __all__ = (
+    'earlier_homes',
     'heir_of',
     'home_of',
     'is_complete_for',
-    'previous_home',
+    'is_useful',
     'receivers_of_moves',
 )
 
@@ -48,32 +50,30 @@
     return _owner_elsewhere(fleet, service, slot, fleet.myself.name)
 
 
-def previous_home(
+def earlier_homes(
     fleet: Fleet,
     service: Service,
     digest: int,
     now: float,
-) -> Member | None:
-    """Return who may know a flow that is not known here.
+) -> Iterator[Member]:
+    """Yield who may know a flow that is not known here, latest first.
 
-    Those are the earlier owners of its slot, before this instance if it is one
-    of them, and its home before the service moved to other domains; but nobody
-    who has handed everything over.
+    Those are the earlier owners of its slot, and its home before the service
+    moved to other domains.
     """
     slot = (service.slot_base + (digest >> SLOT_SHIFT)) % fleet.slot_count
     bucket = digest >> BUCKET_SHIFT
     table = fleet.slots_by_domain.get(service.domain_by_bucket[bucket])
     if table is not None:
-        for name in _names_before(fleet, table, slot, now):
-            if is_useful(fleet, name):
-                return fleet.member_by_name[name]
-    if service.previous_until <= now:
-        return None
-    earlier = fleet.slots_by_domain.get(service.previous_by_bucket[bucket])
-    owner = None if earlier is None else earlier.owners[slot]
-    if owner is None or not is_useful(fleet, owner.name):
-        return None
-    return owner
+        for name in _recent_names(table, slot, now):
+            member = fleet.member_by_name.get(name)
+            if member is not None:
+                yield member
+    if service.previous_until > now:
+        earlier = fleet.slots_by_domain.get(service.previous_by_bucket[bucket])
+        owner = None if earlier is None else earlier.owners[slot]
+        if owner is not None:
+            yield owner
 
 
 def receivers_of_moves(fleet: Fleet, now: float) -> set[str]:
@@ -84,12 +84,8 @@
     names: set[str] = set()
     myself = fleet.myself.name
     for table in fleet.slots_by_domain.values():
-        for slot, chain in table.predecessors_by_slot.items():
-            earlier = [
-                predecessor.name
-                for predecessor in chain
-                if predecessor.until > now
-            ]
+        for slot in table.predecessors_by_slot:
+            earlier = _recent_names(table, slot, now)
             if myself in earlier:
                 names.update(earlier[: earlier.index(myself)])
                 names.update(_owner_names(table, slot))
@@ -102,15 +98,14 @@
     Only then may it say that it has handed everything over: the slots that
     went from here to the receiver must not wait for an earlier owner.
     """
+    myself = fleet.myself.name
     for table in fleet.slots_by_domain.values():
-        for slot, owner in enumerate(table.owners):
-            if owner is None or owner.name != receiver:
-                continue
-            names = _names_before(fleet, table, slot, now)
-            if fleet.myself.name in _chain_names(table, slot) and any(
-                is_useful(fleet, name) for name in names
-            ):
-                return False
+        for slot in table.predecessors_by_slot:
+            names = _recent_names(table, slot, now)
+            if myself in names and receiver in _owner_names(table, slot):
+                before = names[names.index(myself) + 1 :]
+                if any(is_useful(fleet, name) for name in before):
+                    return False
     return True
 
 
@@ -129,27 +124,13 @@
     return () if owner is None else (owner.name,)
 
 
-def _chain_names(table: SlotTable, slot: int) -> list[str]:
-    chain = table.predecessors_by_slot.get(slot, ())
-    return [predecessor.name for predecessor in chain]
-
-
-def _names_before(
-    fleet: Fleet,
-    table: SlotTable,
-    slot: int,
-    now: float,
-) -> list[str]:
-    """Return the owners of a slot before this instance, latest first."""
-    names = [
+def _recent_names(table: SlotTable, slot: int, now: float) -> list[str]:
+    """Return the earlier owners of a slot that may still be asked."""
+    return [
         predecessor.name
         for predecessor in table.predecessors_by_slot.get(slot, ())
         if predecessor.until > now
     ]
-    myself = fleet.myself.name
-    if myself in names:
-        return names[names.index(myself) + 1 :]
-    return names
 
 
 def _owner_elsewhere(
--- a/marlbend/members/probe.py
+++ b/marlbend/members/probe.py
@@ -143,6 +143,8 @@
     if not apply_member(prober.fleet, member, now):
         return False
     add_news(prober.news, prober.fleet, member.name)
+    # News goes out with the next step, not with the next period.
+    prober.next_ping = min(prober.next_ping, now)
     if member.state == MemberState.SUSPECT:
         prober.suspicion_by_name[member.name] = now + SUSPICION_SECONDS
     else:
--- a/marlbend/packets/path.py
+++ b/marlbend/packets/path.py
@@ -5,10 +5,10 @@
 the flow itself.  Otherwise it relays the packet to the flow's home (HOME).
 
 The home forwards a packet of a flow it knows.  A packet of a flow it does not
-know may belong to a flow that lived at the previous home of its slot, because
-the view has changed lately.  So the home first sends it there (CHASE): the
-previous home forwards what it knows, and returns what it does not (DECIDE).
-Then the home decides on its own: a SYN starts a flow on the upstream chosen,
+know may belong to a flow that lived at an earlier home of its slot, because the
+view has changed lately.  So the home first sends it there (CHASE): the earlier
+home forwards what it knows, and returns what it does not (DECIDE).  When no
+earlier home is left to ask, the home decides on its own: a SYN starts a flow on the upstream chosen,
 any other packet goes to the default upstream of its digest, which is where
 the flow lives unless load had moved it.
 
@@ -36,7 +36,8 @@
     set_phase,
     touch_flow,
 )
-from marlbend.members import Fleet, Member, home_of, previous_home
+from marlbend.members import Fleet, Member, earlier_homes, home_of
+from marlbend.members.homes import is_useful
 from marlbend.packets.header import (
     ACK,
     FIN,
@@ -51,23 +52,18 @@
 from marlbend.upstreams import Loads, Upstream
 from marlbend.upstreams.load import count_arrival, others_share
 from marlbend.wire.relay import (
-    HEADER_BYTES,
-    HOP_LIMIT,
+    ENTRY,
+    FRAME_BYTES,
+    Frame,
     RelayKind,
-    frame,
+    find_frame,
     read_frame,
 )
 
 __all__ = ('PacketPath', 'Senders', 'keep_time', 'make_receivers')
 
-_HOME: Final = int(RelayKind.HOME)
-_CHASE: Final = int(RelayKind.CHASE)
-_DECIDE: Final = int(RelayKind.DECIDE)
 # The clock moves at least once a second in a process that runs.
 PAUSE_SECONDS: Final = 2.5
-_FIRST_HOP: Final = 1
-# To the previous home, back again, and one hop to spare.
-_CHASE_HOPS: Final = 3
 _SPECIAL_FLAGS: Final = SYN | FIN | RST
 
 Address = tuple[str, int]
@@ -147,25 +143,25 @@
     def receive_fabric(packet: bytes) -> None:
         service = _find_service(path, packet)
         if service is not None:
-            _enter(path, packet, service, _HOME, 0)
+            _enter(path, packet, service, ENTRY)
 
     def receive_relay(datagram: bytes, sender: Address) -> None:
         peer = path.fleet.member_by_relay.get(sender)
         if peer is None:
             path.counts[Outcome.DROPPED_UNKNOWN_PEER] += 1
             return
-        head = read_frame(datagram)
-        if head is None:
-            path.counts[Outcome.DROPPED_RELAY_HEADER] += 1
+        frame = read_frame(datagram)
+        if frame is None:
+            path.counts[Outcome.DROPPED_RELAY_FRAME] += 1
             return
-        packet = datagram[HEADER_BYTES:]
+        packet = datagram[FRAME_BYTES:]
         service = _find_service(path, packet)
         if service is None:
             return
-        if head[0] == _CHASE:
-            _answer_chase(path, packet, service, head[1], peer)
+        if frame.kind is RelayKind.CHASE:
+            _answer_chase(path, packet, service, frame, peer)
         else:
-            _enter(path, packet, service, *head)
+            _enter(path, packet, service, frame)
 
     return receive_fabric, receive_relay
 
@@ -185,8 +181,7 @@
     path: PacketPath,
     packet: bytes,
     service: Service,
-    kind: int,
-    hops: int,
+    frame: Frame,
 ) -> None:
     digest = flow_digest(packet)
     if _forward_known(path, packet, service, digest):
@@ -195,10 +190,10 @@
     if home is None:
         path.counts[Outcome.DROPPED_NO_HOME] += 1
     elif home is path.fleet.myself:
-        _act_as_home(path, packet, service, digest, (kind, hops))
+        _act_as_home(path, packet, service, digest, frame)
     else:
         path.counts[Outcome.RELAYED] += 1
-        _relay(path, packet, kind, hops, home)
+        _relay(path, packet, (frame.kind, frame.hops, frame.tries), home)
 
 
 def _act_as_home(
@@ -206,57 +201,51 @@
     packet: bytes,
     service: Service,
     digest: int,
-    head: tuple[int, int],
+    frame: Frame,
 ) -> None:
-    """Ask the previous home if it may know the flow, else decide."""
-    kind, hops = head
-    previous = None
-    if kind != _DECIDE:
-        previous = previous_home(path.fleet, service, digest, path.now)
+    """Ask the next earlier home that may know the flow, else decide."""
+    earlier = earlier_homes(path.fleet, service, digest, path.now)
+    useful = (
+        (tries, member)
+        for tries, member in enumerate(earlier, 1)
+        if tries > frame.tries and is_useful(path.fleet, member.name)
+    )
+    tries, asked = next(useful, (0, None))
     if path.catching_up:
         path.counts[Outcome.DROPPED_CATCHING_UP] += 1
-    elif previous is None:
+    elif asked is None:
         _decide(path, packet, service, digest)
-    elif hops + _CHASE_HOPS > HOP_LIMIT:
-        path.counts[Outcome.DROPPED_HOP_LIMIT] += 1
     else:
         path.counts[Outcome.CHASED] += 1
-        _relay(path, packet, _CHASE, hops, previous)
+        _relay(path, packet, (RelayKind.CHASE, frame.hops, tries), asked)
 
 
 def _answer_chase(
     path: PacketPath,
     packet: bytes,
     service: Service,
-    hops: int,
+    frame: Frame,
     peer: Member,
 ) -> None:
-    digest = flow_digest(packet)
-    if _forward_known(path, packet, service, digest):
+    """Forward a packet whose flow is known, else give it back."""
+    if _forward_known(path, packet, service, flow_digest(packet)):
         return
-    previous = previous_home(path.fleet, service, digest, path.now)
-    if previous is None or previous is peer or hops + _CHASE_HOPS > HOP_LIMIT:
-        path.counts[Outcome.RETURNED] += 1
-        _relay(path, packet, _DECIDE, hops, peer)
-    else:
-        path.counts[Outcome.CHASED] += 1
-        _relay(path, packet, _CHASE, hops, previous)
+    path.counts[Outcome.RETURNED] += 1
+    _relay(path, packet, (RelayKind.DECIDE, frame.hops, frame.tries), peer)
 
 
 def _relay(
     path: PacketPath,
     packet: bytes,
-    kind: int,
-    hops: int,
+    parts: tuple[RelayKind, int, int],
     target: Member,
 ) -> None:
-    if hops >= HOP_LIMIT:
+    kind, hops, tries = parts
+    frame = find_frame(kind, hops + 1, tries)
+    if frame is None:
         path.counts[Outcome.DROPPED_HOP_LIMIT] += 1
         return
-    path.senders.relay(
-        frame(kind, hops + _FIRST_HOP) + packet,
-        (target.address, target.relay_port),
-    )
+    path.senders.relay(frame.raw + packet, (target.address, target.relay_port))
 
 
 def _forward_known(
--- a/marlbend/wire/relay.py
+++ b/marlbend/wire/relay.py
@@ -1,21 +1,31 @@
 """Frame packets that one instance relays to another.
 
-Three bytes stand before the unchanged packet: a mark with the version of this
-framing, the kind of request and the number of hops so far.  All frames are
-built once, since a relay happens for most packets.
+Four bytes stand before the unchanged packet: a mark with the version of this
+framing, the kind of request, the number of hops so far, and how many earlier
+homes have been asked.  All frames are built once, since a relay happens for
+most packets.
 """
 
 import enum
 from types import MappingProxyType
 from typing import Final, final
 
-__all__ = ('HEADER_BYTES', 'HOP_LIMIT', 'RelayKind', 'frame', 'read_frame')
+__all__ = (
+    'ENTRY',
+    'FRAME_BYTES',
+    'HOP_LIMIT',
+    'Frame',
+    'RelayKind',
+    'find_frame',
+    'read_frame',
+)
 
-HEADER_BYTES: Final = 3
-# Entry to home, home to its predecessor twice over, and back again.
-HOP_LIMIT: Final = 6
+FRAME_BYTES: Final = 4
+# Entry to home, and to four earlier homes and back.
+HOP_LIMIT: Final = 10
+TRIES_LIMIT: Final = 4
 
-_MARK: Final = 0xB1
+_MARK: Final = 0xB2
 
 
 @enum.unique
@@ -24,8 +34,8 @@
     """Say what the receiver of a relayed packet is asked to do.
 
     HOME: decide as the home of the flow.  CHASE: forward the packet if the
-    flow is known here, else return it.  DECIDE: the flow was not known at its
-    previous home, so decide without asking there.
+    flow is known here, else return it.  DECIDE: the flow was not known at the
+    earlier homes asked so far, so ask the next one or decide.
     """
 
     HOME = 1
@@ -33,26 +43,46 @@
     DECIDE = 3
 
 
-_FRAMES: Final = MappingProxyType(
-    {
-        (kind, hops): bytes((_MARK, kind, hops))
-        for kind in map(int, RelayKind)
-        for hops in range(1, HOP_LIMIT + 1)
-    }
+@final
+class Frame:
+    """Hold what stands before a relayed packet.
+
+    `tries` counts the earlier homes that have been asked; `raw` is the frame
+    as bytes.
+    """
+
+    __slots__ = ('hops', 'kind', 'raw', 'tries')
+
+    def __init__(self, kind: RelayKind, hops: int, tries: int) -> None:
+        """Build the frame."""
+        self.kind = kind
+        self.hops = hops
+        self.tries = tries
+        self.raw = bytes((_MARK, kind, hops, tries))
+
+
+_FRAMES: Final = tuple(
+    Frame(kind, hops, tries)
+    for kind in RelayKind
+    for hops in range(HOP_LIMIT + 1)
+    for tries in range(TRIES_LIMIT + 1)
+)
+_FRAME_BY_PARTS: Final = MappingProxyType(
+    {(frame.kind, frame.hops, frame.tries): frame for frame in _FRAMES}
 )
+_FRAME_BY_RAW: Final = MappingProxyType(
+    {frame.raw: frame for frame in _FRAMES if frame.hops}
+)
+
+# What a packet from the fabric is treated as: it has made no hop yet.
+ENTRY: Final = Frame(RelayKind.HOME, 0, 0)
 
 
-def frame(kind: int, hops: int) -> bytes:
-    """Return the bytes that go before a packet."""
-    return _FRAMES[kind, hops]
+def find_frame(kind: RelayKind, hops: int, tries: int) -> Frame | None:
+    """Return a frame, or nothing beyond the limits of hops and tries."""
+    return _FRAME_BY_PARTS.get((kind, hops, tries))
 
 
-def read_frame(datagram: bytes) -> tuple[int, int] | None:
-    """Return kind and hops, or nothing for a frame that is not ours."""
-    if len(datagram) < HEADER_BYTES or datagram[0] != _MARK:
-        return None
-    kind = datagram[1]
-    hops = datagram[2]
-    if RelayKind.HOME <= kind <= RelayKind.DECIDE and 0 < hops <= HOP_LIMIT:
-        return kind, hops
-    return None
+def read_frame(datagram: bytes) -> Frame | None:
+    """Return the frame of a datagram, or nothing if it has none of ours."""
+    return _FRAME_BY_RAW.get(datagram[:FRAME_BYTES])
