Adopt copies before the next packet, and copy only what lasts

The heir took the copies up to 50 ms after it had become the home, or later while the transfer waited for an answer; meanwhile it sent flows to their default. Copies of short flows also used up the budget, so copies of long ones waited. Change: a changed view is entered at once, in the same step that hears of it; a flow that ends before its copy is sent is not copied at all; ends are sent every two seconds.

--- a/bench/steady.py
+++ b/bench/steady.py
@@ -1,6 +1,8 @@
 """Measure the steady state: broken flows, imbalance, misdelivery."""
 
 import asyncio
+import itertools
+from collections import Counter
 from collections.abc import Collection, Iterator
 from typing import Final
 
@@ -25,6 +27,10 @@
 OPENED_A_SECOND: Final = 500
 REQUESTS: Final = 8
 PAUSE_SECONDS: Final = 1.5
+FEW_FLOWS: Final = 28
+FEW_A_SECOND: Final = 10
+FEW_REQUESTS: Final = 4
+FEW_PAUSE_SECONDS: Final = 1.0
 
 
 class SteadyReport(msgspec.Struct, frozen=True):
@@ -32,7 +38,9 @@
 
     `flows` were open together; `imbalance` is the largest over the mean of
     open flows per unit of capacity, `imbalance_hash` the same for plain
-    hashing of the same flows; `relay_share` is the mean over the instances.
+    hashing of the same flows; `few_spread` is the largest less the smallest
+    number of flows of an upstream when few are open; `relay_share` is the mean
+    over the instances.
     """
 
     flows: int
@@ -40,6 +48,7 @@
     imbalance: float
     imbalance_hash: float
     misdelivered: int
+    few_spread: int
     relay_share: float
     faults: dict[str, int]
 
@@ -52,6 +61,7 @@
 
 async def _measure(stage: Stage) -> SteadyReport:
     callers = stage.callers
+    few_spread = await _measure_few(stage)
     tasks = await start_flows(callers, _plans(stage), OPENED_A_SECOND)
     open_now = await wait_for_open(callers, CATALOG_FLOWS + SURVEY_FLOWS)
     await asyncio.gather(*tasks)
@@ -64,11 +74,24 @@
         imbalance=measure_imbalance(stage.specs, open_now),
         imbalance_hash=hash_imbalance(stage.specs, open_now),
         misdelivered=sum(count.misdelivered for count in counts.values()),
+        few_spread=few_spread,
         relay_share=_mean_relay_share(statuses.values()),
         faults=dict(faults),
     )
 
 
+async def _measure_few(stage: Stage) -> int:
+    """Open a few long flows on equal upstreams; return how far they differ."""
+    plan = FlowPlan(stage.endpoint('catalog'), FEW_REQUESTS, FEW_PAUSE_SECONDS)
+    plans = itertools.repeat(plan, FEW_FLOWS)
+    tasks = await start_flows(stage.callers, plans, FEW_A_SECOND)
+    open_now = await wait_for_open(stage.callers, FEW_FLOWS)
+    counts = Counter(flow.upstream for flow in open_now)
+    names = [each.name for each in stage.specs['catalog'].upstreams]
+    await asyncio.gather(*tasks)
+    return max(counts.values()) - min(counts[name] for name in names)
+
+
 def _mean_relay_share(statuses: Collection[Status]) -> float:
     return sum(status.relay_share for status in statuses) / len(statuses)
 
--- a/marlbend/daemon/control.py
+++ b/marlbend/daemon/control.py
@@ -6,6 +6,7 @@
 
 from marlbend.daemon.loads import take_loads
 from marlbend.daemon.state import Address, Instance, Outbox
+from marlbend.daemon.views import enter_view
 from marlbend.flows.replicas import take_copies
 from marlbend.members.answer import receive_message
 from marlbend.observe import Metrics
@@ -63,3 +64,4 @@
             instance.prober, message, sender, time.monotonic()
         )
         instance.outbox.send_letters(letters)
+        enter_view(instance)
--- a/marlbend/daemon/following.py
+++ b/marlbend/daemon/following.py
@@ -14,6 +14,7 @@
 from marlbend.config import Configuration, apply_configuration
 from marlbend.config.publish import CONFIG_PATH, decode_configuration
 from marlbend.daemon.state import Address, Instance
+from marlbend.daemon.views import enter_view
 from marlbend.errors import MarlbendError
 from marlbend.events import Event, emit
 from marlbend.members import Fleet, note_listed
@@ -129,6 +130,7 @@
     for member in snapshot.members:
         if member.name != instance.path.fleet.myself.name:
             announce(instance.prober, member, now)
+    enter_view(instance)
     if snapshot.config_version:
         put_in_force(instance, snapshot.config_version, snapshot.configuration)
     return True
--- a/marlbend/daemon/instance.py
+++ b/marlbend/daemon/instance.py
@@ -20,6 +20,7 @@
 from marlbend.daemon.replication import replicate_departures
 from marlbend.daemon.state import Instance
 from marlbend.daemon.transfer import transfer_flows
+from marlbend.daemon.views import enter_view
 from marlbend.events import Event, emit
 from marlbend.flows.table import SHARD_COUNT, sweep_shard
 from marlbend.members import MemberState
@@ -91,6 +92,7 @@
     while True:
         now = time.monotonic()
         instance.outbox.send_letters(step(instance.prober, now))
+        enter_view(instance)
         instance.path.catching_up = now < instance.prober.caught_up_at
         await asyncio.sleep(STEP_SECONDS)
 
@@ -104,6 +106,7 @@
         instance.path.fleet.myself, state=MemberState.LEAVING
     )
     announce(instance.prober, leaving, started)
+    enter_view(instance)
     await _wait_for_silence(instance, started + instance.stop_seconds)
     instance.outbox.send_letters(farewell(instance.prober, time.monotonic()))
 
--- a/marlbend/daemon/joining.py
+++ b/marlbend/daemon/joining.py
@@ -19,6 +19,7 @@
     take_instances,
 )
 from marlbend.daemon.state import Instance
+from marlbend.daemon.views import enter_view
 from marlbend.errors import MarlbendError
 from marlbend.events import Event, emit
 from marlbend.members.prober import announce
@@ -51,6 +52,7 @@
         await asyncio.sleep(RETRY_SECONDS)
     myself = instance.path.fleet.myself
     announce(instance.prober, myself, time.monotonic())
+    enter_view(instance)
     instance.lifecycle.trigger('serve')
     emit(Event.JOINED, name=myself.name, version=VERSION)
 
--- a/marlbend/daemon/replication.py
+++ b/marlbend/daemon/replication.py
@@ -7,7 +7,7 @@
 import asyncio
 import itertools
 from collections import defaultdict
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator
 from typing import Final, final
 
 from marlbend.daemon.state import Instance
@@ -28,7 +28,9 @@
 
 __all__ = ('replicate_departures',)
 
-FLUSH_SECONDS: Final = 0.1
+FLUSH_SECONDS: Final = 0.2
+# A copy that is kept too long does no harm, so ends wait to be many.
+ENDS_SECONDS: Final = 2.0
 CHUNK_FLOWS: Final = 100
 BYTES_A_SECOND: Final = 1500
 BURST_BYTES: Final = 3000
@@ -38,11 +40,19 @@
 class _Replication:
     """Remember for which heirs and configuration copies were sent."""
 
-    __slots__ = ('config_version', 'epoch', 'heirs', 'room', 'view_version')
+    __slots__ = (
+        'config_version',
+        'ends_at',
+        'epoch',
+        'heirs',
+        'room',
+        'view_version',
+    )
 
     def __init__(self) -> None:
         self.view_version = 0
         self.config_version = 0
+        self.ends_at: float = 0
         self.heirs: frozenset[tuple[str, int, str]] = frozenset()
         self.epoch = 1
         self.room: float = BURST_BYTES
@@ -51,9 +61,9 @@
 async def replicate_departures(instance: Instance) -> None:
     """Send copies whenever there is room in the budget, until cancelled."""
     state = _Replication()
+    path = instance.path
     while True:
         await asyncio.sleep(FLUSH_SECONDS)
-        path = instance.path
         if state.config_version != path.active.version:
             state.config_version = path.active.version
             await _mark_departures(path)
@@ -62,7 +72,11 @@
             await _renew_epoch(instance, state)
         earned = BYTES_A_SECOND * FLUSH_SECONDS
         state.room = min(BURST_BYTES, state.room + earned)
-        _flush(instance, state)
+        while state.room > 0 and path.table.copies_due:
+            _send_copies(instance, state)
+        if path.now >= state.ends_at:
+            state.ends_at = path.now + ENDS_SECONDS
+            _send_ends(instance, state)
 
 
 async def _mark_departures(path: PacketPath) -> None:
@@ -96,7 +110,7 @@
     for shard in range(SHARD_COUNT):
         for digest, entry in iterate_shard(path.table, shard):
             if entry_departs(entry) and entry_phase(entry) == ESTABLISHED:
-                path.table.copies_due.append(digest)
+                path.table.copies_due[digest] = entry_upstream(entry)
         await asyncio.sleep(0)
     for name in old_names - {heir[2] for heir in heirs}:
         _send(instance, state, name, Copies(*_head(path, state)))
@@ -111,43 +125,28 @@
                 yield domain, slot, heir.name
 
 
-def _flush(instance: Instance, state: _Replication) -> None:
-    table = instance.path.table
-    while state.room > 0 and (table.copies_due or table.ends_due):
-        _send_copies(instance, state)
-        _send_ends(instance, state)
-
-
 def _send_copies(instance: Instance, state: _Replication) -> None:
     path = instance.path
-    due = path.table.copies_due
-    path.table.copies_due = due[CHUNK_FLOWS:]
-    number_by_digest = {
-        digest: entry_upstream(entry)
-        for digest in due[:CHUNK_FLOWS]
-        if (entry := path.table.find(digest)) is not None
-    }
-    for heir, digests in _group_by_heir(path, number_by_digest).items():
+    for heir, digests in _take_by_heir(path, path.table.copies_due).items():
         groups = tuple(group_flows(path.active, path.table, digests))
         _send(instance, state, heir, Copies(*_head(path, state), groups))
 
 
 def _send_ends(instance: Instance, state: _Replication) -> None:
     path = instance.path
-    due = path.table.ends_due
-    digests = tuple(itertools.islice(due, CHUNK_FLOWS))
-    number_by_digest = {digest: due.pop(digest) for digest in digests}
-    for heir, ended in _group_by_heir(path, number_by_digest).items():
+    for heir, ended in _take_by_heir(path, path.table.ends_due).items():
         message = Copies(*_head(path, state), (), tuple(ended))
         _send(instance, state, heir, message)
 
 
-def _group_by_heir(
+def _take_by_heir(
     path: PacketPath,
-    number_by_digest: Mapping[int, int],
+    due: dict[int, int],
 ) -> dict[str, list[int]]:
+    """Take some flows off a queue, grouped by their heir."""
     by_heir: dict[str, list[int]] = defaultdict(list)
-    for digest, number in number_by_digest.items():
+    for digest in tuple(itertools.islice(due, CHUNK_FLOWS)):
+        number = due.pop(digest)
         by_heir[_heir_name(path, digest, number)].append(digest)
     return by_heir
 
--- a/marlbend/daemon/state.py
+++ b/marlbend/daemon/state.py
@@ -40,11 +40,13 @@
     """Hold the wired parts of one instance.
 
     `config_since` is the monotonic time at which the configuration in force
-    was put in force; `stop_asked` starts the graceful shutdown.
+    was put in force; `stop_asked` starts the graceful shutdown;
+    `entered_view` is the version of the view that was last followed.
     """
 
     __slots__ = (
         'config_since',
+        'entered_view',
         'lifecycle',
         'metrics',
         'outbox',
@@ -77,3 +79,4 @@
         self.stop_seconds: float = 0
         self.timeouts = Timeouts(0, 0, 0)
         self.config_since: float = 0
+        self.entered_view = 0
--- a/marlbend/daemon/transfer.py
+++ b/marlbend/daemon/transfer.py
@@ -1,10 +1,9 @@
 """Hand flows over to their new homes after each change.
 
 The transfer compares the versions of view and configuration with those it
-last worked on.  When one has moved it adopts the copies of homes that are
-gone, looks through the flow table, a shard at a time, and sends what has a new
-home, one task for each receiver.  What a receiver does not confirm stays here
-and is tried again.
+last worked on.  When one has moved it looks through the flow table, a shard at
+a time, and sends what has a new home, one task for each receiver.  What a
+receiver does not confirm stays here and is tried again.
 
 The last message to a receiver says for which view it is complete, so that the
 receiver need not ask this instance about flows it does not know.
@@ -27,14 +26,12 @@
     split_group,
     take_flows,
 )
-from marlbend.flows.replicas import adopt_orphans
 from marlbend.flows.table import SHARD_COUNT
-from marlbend.members import Fleet, Member, home_of, live_members
+from marlbend.members import Member, home_of
 from marlbend.members.fleet import view_mark
 from marlbend.members.homes import is_complete_for, receivers_of_moves
 from marlbend.members.member import MemberState
 from marlbend.packets import PacketPath
-from marlbend.upstreams.load import drop_reports
 from marlbend.wire.flows import FlowGroup
 from marlbend.wire.messages import HandOver, HandOverReply
 from marlbend.wire.rpc import call_hand_over
@@ -74,8 +71,6 @@
     config = path.active.version
     if (view, config) == (worked.view_version, worked.config_version):
         return True
-    if view != worked.view_version:
-        _enter_view(instance)
     moves = await _collect_moves(path)
     if not await _send_moves(path, moves):
         return False
@@ -122,34 +117,6 @@
     return is_home
 
 
-def _enter_view(instance: Instance) -> None:
-    path = instance.path
-    members = live_members(path.fleet)
-    names = [member.name for member in members]
-    emit(
-        Event.VIEW_CHANGED,
-        version=path.fleet.version,
-        members=' '.join(names),
-    )
-    path.homes = max(1, len(names))
-    drop_reports(path.loads, frozenset(names))
-    adopted = adopt_orphans(
-        instance.replicas,
-        path.table,
-        lambda name, started: _is_present(path.fleet, name, started),
-        path.tick,
-    )
-    if adopted:
-        emit(Event.REPLICAS_ADOPTED, flows=adopted)
-
-
-def _is_present(fleet: Fleet, name: str, incarnation: int) -> bool:
-    member = fleet.member_by_name.get(name)
-    if member is None or member.state == MemberState.GONE:
-        return False
-    return member.incarnation == incarnation
-
-
 async def _collect_moves(path: PacketPath) -> Moves:
     collected: Moves = defaultdict(list)
 
--- a/marlbend/flows/table.py
+++ b/marlbend/flows/table.py
@@ -7,8 +7,8 @@
 the packet path for long.
 
 Departures are the only state worth copying elsewhere.  The table lists those
-that began to carry data (`copies_due`) and those that ended
-(`ends_due`, with the number of their upstream).
+that began to carry data (`copies_due`) and those whose copy has to end
+(`ends_due`), each with the number of its upstream.
 """
 
 from collections.abc import Iterator
@@ -88,7 +88,7 @@
         )
         self.open_by_number: dict[int, int] = {}
         self.count_by_phase = [0, 0, 0]
-        self.copies_due: list[int] = []
+        self.copies_due: dict[int, int] = {}
         self.ends_due: dict[int, int] = {}
 
     def __len__(self) -> int:
@@ -136,7 +136,7 @@
     entry = table.shards[digest & SHARD_MASK][digest]
     table.shards[digest & SHARD_MASK][digest] = entry | DEPARTURE_BIT
     if entry_phase(entry) == ESTABLISHED:
-        table.copies_due.append(digest)
+        table.copies_due[digest] = entry_upstream(entry)
 
 
 def remove_flow(table: FlowTable, digest: int) -> None:
@@ -149,7 +149,7 @@
     if phase != CLOSING:
         _count_open(table, entry_upstream(entry), -1)
     if phase == ESTABLISHED and entry & DEPARTURE_BIT:
-        table.ends_due[digest] = entry_upstream(entry)
+        _end_copy(table, digest, entry_upstream(entry))
 
 
 def touch_flow(table: FlowTable, digest: int, entry: int, tick: int) -> None:
@@ -198,6 +198,12 @@
             yield digest
 
 
+def _end_copy(table: FlowTable, digest: int, number: int) -> None:
+    """Cancel a copy that was not sent yet, or ask for its end."""
+    if table.copies_due.pop(digest, None) is None:
+        table.ends_due[digest] = number
+
+
 def _insert(table: FlowTable, digest: int, entry: int) -> None:
     table.shards[digest & SHARD_MASK][digest] = entry
     phase = entry_phase(entry)
--- a/marlbend/test/network.py
+++ b/marlbend/test/network.py
@@ -25,6 +25,7 @@
 from marlbend.daemon import transfer
 from marlbend.daemon.state import Instance, Outbox
 from marlbend.daemon.transfer import Worked, take_hand_over, transfer_once
+from marlbend.daemon.views import enter_view
 from marlbend.errorcodes import ErrorKind
 from marlbend.errors import MarlbendError
 from marlbend.flows import FlowTable
@@ -127,7 +128,9 @@
     def tell(self, member: Member, listeners: Iterable[str]) -> None:
         """Let instances hear of a member."""
         for name in listeners:
-            apply_member(self.by_name[name].path.fleet, member, self.now)
+            node = self.by_name[name]
+            apply_member(node.path.fleet, member, self.now)
+            enter_view(node.instance)
 
     def tell_state(
         self, name: str, state: MemberState, listeners: Iterable[str]
--- a/marlbend/test/test_flows.py
+++ b/marlbend/test/test_flows.py
@@ -104,7 +104,8 @@
     mark_departure(table, 1)
     assert not table.copies_due
     set_phase(table, 1, ESTABLISHED, 1)
-    assert table.copies_due == [1]
+    assert table.copies_due == {1: 1}
+    table.copies_due.clear()
     entry = table.find(1)
     assert entry is not None
     assert entry_departs(entry)
