--- a/bench/cost.py
+++ b/bench/cost.py
@@ -1,5 +1,6 @@
 """Measure what an instance costs: forwarding, memory, control."""
 
+import asyncio
 from typing import Final
 
 import msgspec
@@ -10,7 +11,8 @@
 
 __all__ = ('CostReport', 'run_cost')
 
-FLEET_SIZES: Final = (4, 8, 16)
+# Pairs of fleets are measured side by side.
+FLEET_SIZES: Final = ((4, 32), (8, 16))
 
 
 class CostReport(msgspec.Struct, frozen=True):
@@ -18,7 +20,7 @@
 
     `forward_ratio` and `relay_ratio` compare with the bare forwarder;
     `control_bytes_per_s` (sent and received) and `control_core_share` are
-    those of the busiest instance of the largest fleet measured.
+    those of the busiest instance of any fleet measured.
     """
 
     forward_ratio: float
@@ -35,12 +37,19 @@
     """Measure forwarding, then memory, then control."""
     rates = await measure_forwarding(seed)
     memory = await measure_memory(seed)
-    control = [await measure_control(size, seed) for size in FLEET_SIZES]
+    control = [
+        slope
+        for sizes in FLEET_SIZES
+        for slope in await asyncio.gather(
+            *(measure_control(size, seed) for size in sizes)
+        )
+    ]
+    control.sort(key=lambda slope: slope.instances)
     return CostReport(
         forward_ratio=rates.home / rates.bare,
         relay_ratio=rates.relay / rates.bare,
-        control_bytes_per_s=control[-1].control_bytes_per_s,
-        control_core_share=control[-1].control_core_share,
+        control_bytes_per_s=max(slope.control_bytes_per_s for slope in control),
+        control_core_share=max(slope.core_share for slope in control),
         bytes_per_flow=bytes_per_flow(memory),
         packets_per_s=rates,
         memory=memory,
--- a/bench/flood.py
+++ b/bench/flood.py
@@ -9,7 +9,7 @@
 import socket
 import struct
 import time
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
 from typing import Final
 
 from bench.segments import TUNNEL_PORT
@@ -42,16 +42,18 @@
 
 def send_packets(
     packets: Iterable[bytes],
-    target: str,
+    targets: Sequence[str],
     rate: int,
     seconds: float,
 ) -> None:
-    """Send until the packets or the time are used up; rate 0 is no limit."""
-    sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    sender.connect((target, TUNNEL_PORT))
+    """Send until the packets or the time are used up; rate 0 is no limit.
+
+    Several targets take turns.
+    """
+    senders = itertools.cycle([_connect(target) for target in targets])
     started = time.monotonic()
     for number, packet in enumerate(packets):
-        sender.send(packet)
+        next(senders).send(packet)
         if number % BATCH_PACKETS == 0:
             elapsed = time.monotonic() - started
             if elapsed > seconds:
@@ -60,6 +62,12 @@
                 time.sleep(max(0, number / rate - elapsed))
 
 
+def _connect(target: str) -> socket.socket:
+    sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sender.connect((target, TUNNEL_PORT))
+    return sender
+
+
 def run() -> None:
     """Read the command line and send."""
     parser = argparse.ArgumentParser()
@@ -73,7 +81,12 @@
     packets: Iterable[bytes] = list(split_packets(joined))
     if arguments.repeat:
         packets = itertools.cycle(packets)
-    send_packets(packets, arguments.target, arguments.rate, arguments.seconds)
+    send_packets(
+        packets,
+        arguments.target.split(','),
+        arguments.rate,
+        arguments.seconds,
+    )
 
 
 if __name__ == '__main__':
--- a/bench/holding.py
+++ b/bench/holding.py
@@ -1,13 +1,12 @@
 """Measure the memory that an instance needs for its flows."""
 
 import asyncio
-from collections.abc import Iterator, Sequence
+from collections.abc import Sequence
 from typing import Final
 
 import msgspec
 
 from bench.lab import (
-    ACK_FLAGS,
     SYN_FLAGS,
     flood,
     make_flows,
@@ -34,12 +33,13 @@
 
 async def measure_memory(seed: int) -> tuple[MemorySlope, ...]:
     """Open ever more flows at one instance; return its memory at each step."""
-    async with open_lab(seed, 1) as stage:
+    limits = {'half_open': 2 * FLOWS, 'half_open_seconds': 600}
+    async with open_lab(seed, 1, limits=limits) as stage:
         sources = list(make_flows(stage, FLOWS))
         steps = [await _read_memory(stage)]
         for step in range(STEPS):
             chunk = sources[step::STEPS]
-            await _open(stage, tuple(_handshakes(chunk)))
+            await _open(stage, [make_packet(each, SYN_FLAGS) for each in chunk])
             steps.append(await _read_memory(stage))
     return tuple(steps)
 
@@ -51,12 +51,6 @@
     return grown / (last.flows - first.flows)
 
 
-def _handshakes(sources: Sequence[tuple[str, int]]) -> Iterator[bytes]:
-    for source in sources:
-        yield make_packet(source, SYN_FLAGS)
-        yield make_packet(source, ACK_FLAGS)
-
-
 async def _open(stage: Stage, packets: Sequence[bytes]) -> None:
     target = next(iter(stage.listed.values())).address
     options = ('--rate', str(PACKETS_A_SECOND), '--seconds', str(SECONDS))
--- a/bench/lab.py
+++ b/bench/lab.py
@@ -3,7 +3,7 @@
 import functools
 import itertools
 import socket
-from collections.abc import AsyncIterator, Callable, Iterable, Iterator
+from collections.abc import AsyncIterator, Callable, Iterable, Iterator, Mapping
 from contextlib import asynccontextmanager
 from typing import Final
 
@@ -36,6 +36,7 @@
 SERVICE_ADDRESS: Final = '198.51.100.1'
 SERVICE_PORT: Final = 443
 DOMAIN: Final = 'only'
+SINK_CONNECTIONS: Final = 1_000_000
 FIRST_PORT: Final = 1024
 PORTS: Final = 60_000
 PAYLOAD_BYTES: Final = 64
@@ -57,28 +58,40 @@
 
 
 @asynccontextmanager
-async def open_lab(seed: int, instances: int) -> AsyncIterator[Stage]:
-    """Start the platform and instances of one domain for one service."""
+async def open_lab(
+    seed: int,
+    instances: int,
+    sinks: int = 1,
+    limits: Mapping[str, int] | None = None,
+) -> AsyncIterator[Stage]:
+    """Start the platform and instances of one domain for one service.
+
+    Nobody reads what the sinks get but the measurement that opens them.
+    """
     async with open_platform(seed) as stage:
         stage.specs['lab'] = ServiceSpec(
             service='lab',
             addresses=(SERVICE_ADDRESS,),
             ports=(SERVICE_PORT,),
             refusal='silence',
-            upstreams=(
-                UpstreamSpec(
-                    name='sink',
-                    address=sink_address(stage),
-                    domain=DOMAIN,
-                    slots=1,
-                    connections=1,
-                ),
-            ),
+            upstreams=tuple(_make_sinks(stage, sinks)),
         )
+        stage.limits.update(limits or {})
         await start_instances(stage, instances)
         yield stage
 
 
+def _make_sinks(stage: Stage, sinks: int) -> Iterator[UpstreamSpec]:
+    for number in range(sinks):
+        yield UpstreamSpec(
+            name=f'sink-{number}',
+            address=stage.address(2, 1 + number),
+            domain=DOMAIN,
+            slots=1,
+            connections=SINK_CONNECTIONS,
+        )
+
+
 def make_flows(
     stage: Stage,
     flows: int,
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import ctypes
 import json
 import pathlib
 import signal
@@ -23,9 +22,6 @@
 
 END_SECONDS: Final = 30
 
-# From <sys/prctl.h>: the signal a process gets when its parent ends.
-_PR_SET_PDEATHSIG: Final = 1
-
 
 @final
 class Processes:
@@ -60,11 +56,11 @@
         processes.by_name[name] = await asyncio.create_subprocess_exec(
             sys.executable,
             '-m',
+            'bench.child',
             module,
             *arguments,
             stdout=asyncio.subprocess.PIPE,
             stderr=log,
-            preexec_fn=_die_with_parent,
         )
 
 
@@ -101,8 +97,3 @@
     for name in tuple(processes.by_name):
         await kill_process(processes, name)
     processes.folder.cleanup()
-
-
-def _die_with_parent() -> None:
-    """Let nothing run on when a measurement is interrupted."""
-    ctypes.CDLL(None).prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
--- a/bench/stage.py
+++ b/bench/stage.py
@@ -61,6 +61,7 @@
 
     __slots__ = (
         'callers',
+        'limits',
         'listed',
         'lock',
         'octet',
@@ -82,6 +83,7 @@
         self.listed: dict[str, ListedInstance] = {}
         self.specs: dict[str, ServiceSpec] = {}
         self.publications = 0
+        self.limits: dict[str, int] = {}
         self.started = 0
         self.slot_count = SLOT_COUNT
 
@@ -168,6 +170,7 @@
             'address': listed.address,
             'domain': domain,
             'platform': stage.platform.url,
+            'limits': stage.limits,
         },
     )
     return name
--- a/marlbend/daemon/control.py
+++ b/marlbend/daemon/control.py
@@ -40,12 +40,14 @@
     metrics = instance.metrics
 
     def receive(datagram: bytes, sender: Address) -> None:
+        started = time.thread_time()
         metrics.control_received += len(datagram) + DATAGRAM_OVERHEAD_BYTES
         message = decode(datagram)
         if message is None:
             metrics.control_malformed += 1
         else:
             _dispatch(instance, message, sender)
+        metrics.control_seconds += time.thread_time() - started
 
     return receive
 
--- a/marlbend/daemon/instance.py
+++ b/marlbend/daemon/instance.py
@@ -27,6 +27,7 @@
 from marlbend.members.fleet import forget_departed
 from marlbend.members.probe import step
 from marlbend.members.prober import announce, farewell
+from marlbend.observe.meter import metered
 from marlbend.packets.path import keep_time
 from marlbend.upstreams.load import settle_rates
 
@@ -49,7 +50,8 @@
     emit(Event.STARTED, name=myself.name, version=VERSION)
     async with asyncio.TaskGroup() as group:
         tasks = [
-            group.create_task(work) for work in _list_work(instance, seeds)
+            group.create_task(metered(work, instance.metrics))
+            for work in _list_work(instance, seeds)
         ]
         await instance.stop_asked.wait()
         await _leave(instance)
--- a/marlbend/members/answer.py
+++ b/marlbend/members/answer.py
@@ -24,7 +24,7 @@
 __all__ = ('receive_message',)
 
 # A ping on behalf of another instance is answered within this time.
-ERRAND_SECONDS: Final = 0.35
+ERRAND_SECONDS: Final = 0.25
 
 
 def receive_message(
--- a/marlbend/members/probe.py
+++ b/marlbend/members/probe.py
@@ -35,8 +35,8 @@
 __all__ = ('step',)
 
 PERIOD_SECONDS: Final = 0.2
-ACK_SECONDS: Final = 0.25
-INDIRECT_SECONDS: Final = 0.35
+ACK_SECONDS: Final = 0.15
+INDIRECT_SECONDS: Final = 0.25
 # A longer gap between two steps means that this process was paused.
 PAUSE_SECONDS: Final = 1.0
 # After a pause, others tell what has happened within this time.
--- a/marlbend/observe/metrics.py
+++ b/marlbend/observe/metrics.py
@@ -32,12 +32,14 @@
 
     Decision times are nanoseconds from a packet in hand to a packet sent;
     `control_sent` and `control_received` count bytes of control messages and
-    `control_malformed` those that could not be decoded.
+    `control_malformed` those that could not be decoded; `control_seconds` is
+    processor time.
     """
 
     __slots__ = (
         'control_malformed',
         'control_received',
+        'control_seconds',
         'control_sent',
         'decisions',
     )
@@ -45,6 +47,7 @@
     def __init__(self) -> None:
         """Start at zero."""
         self.control_sent = 0
+        self.control_seconds: float = 0
         self.control_received = 0
         self.control_malformed = 0
         self.decisions = HdrHistogram(
