--- a/bench/platform.py
+++ b/bench/platform.py
@@ -96,7 +96,6 @@
 
 async def _read(request: web.Request) -> web.Response:
     store = request.app[STORE_KEY]
-    store.calls += 1
     await _suffer(store)
     path = request.path
     after = int(request.query.get('after', 0))
@@ -118,7 +117,6 @@
 
 async def _write(request: web.Request) -> web.Response:
     store = request.app[STORE_KEY]
-    store.calls += 1
     await _suffer(store)
     body = await request.read()
     entry = store.entry_by_path.get(request.path)
@@ -149,6 +147,7 @@
 
 
 async def _suffer(store: Store) -> None:
+    store.calls += 1
     if store.faults.down:
         raise web.HTTPServiceUnavailable
     await asyncio.sleep(store.faults.delay_seconds)
--- a/marlbend/cli/main.py
+++ b/marlbend/cli/main.py
@@ -16,7 +16,7 @@
 from marlbend import VERSION, messages
 from marlbend.cli import reports
 from marlbend.config import collect_services
-from marlbend.config.publish import publish_configuration
+from marlbend.config.publish import drain_upstream, publish_configuration
 from marlbend.errorcodes import ErrorKind
 from marlbend.errors import MarlbendError
 from marlbend.platform import Platform
@@ -61,16 +61,65 @@
 
         """
         document = collect_services([str(path) for path in files])
-        publication = os.urandom(PUBLICATION_BYTES).hex()
 
         async def write(store: Platform) -> int:
             return await publish_configuration(
-                store, document, publication, expected
+                store, document, _new_publication(), expected
             )
 
         version = _with_platform(platform, write)
         reports.print_report(reports.report_publish(version, document), json)
 
+    def drain(
+        self,
+        service: str,
+        upstream: str,
+        undo: bool = False,
+        platform: str = '',
+        json: bool = False,
+    ) -> None:
+        """Give an upstream no new flows; it keeps its old ones.
+
+        The drain outlasts publications until it is undone.
+
+        Args:
+            service: name of the service.
+            upstream: name of the upstream in the service file.
+            undo: let the upstream take new flows again.
+            platform: URL of the platform, or the variable MARLBEND_PLATFORM.
+            json: print one JSON object.
+
+        """
+
+        async def write(store: Platform) -> int:
+            return await drain_upstream(
+                store, service, upstream, _new_publication(), undo=undo
+            )
+
+        version = _with_platform(platform, write)
+        report = reports.DrainReport(version, service, upstream, not undo)
+        reports.print_report(report, json)
+
+    def flows(
+        self,
+        service: str = '',
+        platform: str = '',
+        json: bool = False,
+    ) -> None:
+        """Show how the open flows are spread over the upstreams.
+
+        Args:
+            service: show only this service.
+            platform: URL of the platform, or the variable MARLBEND_PLATFORM.
+            json: print one JSON object.
+
+        """
+
+        async def ask(store: Platform) -> reports.FlowsReport:
+            return await reports.collect_flows(store, service)
+
+        reports.print_report(_with_platform(platform, ask), json)
+
     def status(
         self,
         platform: str = '',
@@ -110,6 +159,10 @@
         sys.exit(error.exit_code)
 
 
+def _new_publication() -> str:
+    return os.urandom(PUBLICATION_BYTES).hex()
+
+
 def _with_platform(
     url: str,
     work: Callable[[Platform], Awaitable[_Answer]],
--- a/marlbend/cli/reports.py
+++ b/marlbend/cli/reports.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import sys
+from collections import Counter
 from collections.abc import Iterator, Sequence
 from typing import Final
 
@@ -17,10 +18,13 @@
 
 __all__ = (
     'CheckReport',
+    'DrainReport',
     'ErrorReport',
+    'FlowsReport',
     'PublishReport',
     'StatusReport',
     'VersionReport',
+    'collect_flows',
     'collect_status',
     'print_json',
     'print_report',
@@ -101,7 +105,50 @@
             yield f'{name}: no answer'
 
 
-Report = VersionReport | CheckReport | PublishReport | StatusReport
+class DrainReport(msgspec.Struct, frozen=True):
+    """Tell what was drained, or no longer is, in which version."""
+
+    version: int
+    service: str
+    upstream: str
+    draining: bool
+
+    def lines(self) -> Iterator[str]:
+        """Yield the report for a person."""
+        verb = 'drains' if self.draining else 'takes new flows again'
+        yield f'{self.service}/{self.upstream} {verb}'
+        yield f'published version {self.version}'
+
+
+class FlowsReport(msgspec.Struct, frozen=True):
+    """Tell the open flows by upstream, as the homes count them.
+
+    `departing` are flows that are not on their default, `copies` those held
+    for other homes.
+    """
+
+    open_by_upstream: dict[str, int]
+    departing: int
+    copies: int
+    unreachable: tuple[str, ...]
+
+    def lines(self) -> Iterator[str]:
+        """Yield the report for a person, a line for each upstream."""
+        for name, flows in sorted(self.open_by_upstream.items()):
+            yield f'{name}: {flows}'
+        yield f'departing {self.departing}, copies {self.copies}'
+        for silent in self.unreachable:
+            yield f'{silent}: no answer'
+
+
+Report = (
+    VersionReport
+    | CheckReport
+    | PublishReport
+    | DrainReport
+    | FlowsReport
+    | StatusReport
+)
 
 
 def print_report(report: Report, as_json: bool) -> None:
@@ -142,6 +189,25 @@
     return StatusReport(found, tuple(silent))
 
 
+async def collect_flows(platform: Platform, service: str) -> FlowsReport:
+    """Add up what the instances count, for one service or for all."""
+    status = await collect_status(platform, '')
+    opened: Counter[str] = Counter()
+    for each in status.instances:
+        opened.update(each.flows_by_upstream)
+    wanted = {
+        name: flows
+        for name, flows in opened.items()
+        if not service or name.startswith(f'{service}/')
+    }
+    return FlowsReport(
+        wanted,
+        sum(known.departing_flows for known in status.instances),
+        sum(known.replicas for known in status.instances),
+        status.unreachable,
+    )
+
+
 async def _ask(member: Member) -> Status | None:
     try:
         return await call_status(member.address, member.admin_port, member.name)
--- a/marlbend/config/active.py
+++ b/marlbend/config/active.py
@@ -5,17 +5,31 @@
 """
 
 import ipaddress
+import math
 from collections.abc import Iterator, Mapping
 from typing import Final, final
 
-from marlbend.config.documents import Configuration, ServiceSpec, UpstreamSpec
+from marlbend.config.documents import (
+    Configuration,
+    ServiceSpec,
+    UpstreamSpec,
+    services_in_force,
+)
+from marlbend.config.resting import GIVE_UP_SECONDS
 from marlbend.hashing import hash_number, hash_text, weigh_hash
 from marlbend.upstreams import Upstream, UpstreamPool
 
-__all__ = ('ActiveConfig', 'Service', 'apply_configuration')
+__all__ = (
+    'CHASE_SECONDS',
+    'ActiveConfig',
+    'Service',
+    'apply_configuration',
+)
 
 # A flow's digest picks one of these, which points to a failure domain.
 BUCKET_COUNT: Final = 256
+# For this long after the home of a flow moved, earlier homes are asked.
+CHASE_SECONDS: Final = 15.0
 
 _PORT_BYTES: Final = 2
 
@@ -78,26 +92,28 @@
     active: ActiveConfig,
     version: int,
     document: Configuration,
-    chase_until: float,
+    now: float,
 ) -> bool:
     """Put a configuration in force unless it is old; tell if it was put.
 
-    `chase_until` (monotonic seconds) ends the time in which homes that this
-    change moves ask the previous home.
+    `now` is monotonic seconds; for `CHASE_SECONDS` homes that this change
+    moves ask the earlier home.
     """
     if version <= active.version:
         return False
+    specs = services_in_force(document)
     services = {
-        spec.service: _update_service(active, spec, chase_until)
-        for spec in document.services
+        spec.service: _update_service(active, spec, now) for spec in specs
     }
     for gone in active.spec_by_name.keys() - services:
-        _stop_accepting(active.pool, active.spec_by_name[gone])
-    active.spec_by_name = {spec.service: spec for spec in document.services}
+        _stop_accepting(
+            active.pool, active.spec_by_name[gone], now + GIVE_UP_SECONDS
+        )
+    active.spec_by_name = {spec.service: spec for spec in specs}
     active.service_by_name = services
     active.service_by_endpoint = {
         endpoint: services[spec.service]
-        for spec in document.services
+        for spec in specs
         for endpoint in _endpoints(spec)
     }
     active.document = document
@@ -108,14 +124,14 @@
 def _update_service(
     active: ActiveConfig,
     spec: ServiceSpec,
-    chase_until: float,
+    now: float,
 ) -> Service:
     """Return the service as a file describes it; most have not changed."""
     known = active.spec_by_name.get(spec.service)
     if known == spec:
         return active.service_by_name[spec.service]
     if known is not None:
-        _stop_accepting(active.pool, known)
+        _stop_accepting(active.pool, known, now + GIVE_UP_SECONDS)
     service = active.service_by_name.get(spec.service) or Service(spec.service)
     for upstream_spec in spec.upstreams:
         _update_upstream(active.pool, spec.service, upstream_spec)
@@ -128,16 +144,22 @@
     by_bucket = tuple(_assign_buckets(spec.service, weights))
     if by_bucket != service.domain_by_bucket:
         service.previous_by_bucket = service.domain_by_bucket
-        service.previous_until = chase_until
+        service.previous_until = now + CHASE_SECONDS
     service.domain_by_bucket = by_bucket
     service.domains = tuple(weights)
     return service
 
 
-def _stop_accepting(pool: UpstreamPool, spec: ServiceSpec) -> None:
+def _stop_accepting(
+    pool: UpstreamPool,
+    spec: ServiceSpec,
+    give_up_at: float,
+) -> None:
+    """Let the upstreams of a service go unless its next file names them."""
     for upstream in spec.upstreams:
         known = pool.intern(spec.service, upstream.address, upstream.port)
         known.accepting = False
+        known.given_up_at = give_up_at
 
 
 def _update_upstream(
@@ -150,6 +172,7 @@
     upstream.slots = spec.slots
     upstream.connections = spec.connections
     upstream.accepting = not spec.draining
+    upstream.given_up_at = math.inf
 
 
 def _domain_weights(spec: ServiceSpec) -> dict[str, int]:
--- a/marlbend/config/check.py
+++ b/marlbend/config/check.py
@@ -46,7 +46,7 @@
     if problems:
         raise MarlbendError(
             ErrorKind.SERVICE_INVALID,
-            'service files are wrong',
+            messages.SERVICES_WRONG,
             problems,
         )
     specs.sort(key=lambda spec: spec.service)
--- a/marlbend/config/documents.py
+++ b/marlbend/config/documents.py
@@ -9,7 +9,14 @@
 
 import msgspec
 
-__all__ = ('Configuration', 'ServiceSpec', 'UpstreamSpec')
+__all__ = (
+    'Configuration',
+    'RestingAddress',
+    'ServiceSpec',
+    'UpstreamSpec',
+    'drain_key',
+    'services_in_force',
+)
 
 HIGHEST_PORT: Final = 65_535
 HIGHEST_COUNT: Final = 1_000_000
@@ -49,12 +56,50 @@
     upstreams: tuple[UpstreamSpec, ...]
 
 
+class RestingAddress(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Keep the address of a former upstream from other services.
+
+    `until` is seconds since the epoch.
+    """
+
+    address: str
+    service: str
+    until: float
+
+
 class Configuration(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Hold every service, sorted by name.
 
     `publications` identifies the latest publishing steps, newest first.  A
-    publisher that lost the answer to its write finds itself there.
+    publisher that lost the answer to its write finds itself there.  `drains`
+    names upstreams, `SERVICE/UPSTREAM`, that operators drain whatever their
+    service file says.
     """
 
     services: tuple[ServiceSpec, ...]
     publications: tuple[str, ...] = ()
+    drains: tuple[str, ...] = ()
+    resting: tuple[RestingAddress, ...] = ()
+
+
+def drain_key(service: str, upstream: str) -> str:
+    """Return how an upstream is named among the drains."""
+    return f'{service}/{upstream}'
+
+
+def services_in_force(document: Configuration) -> tuple[ServiceSpec, ...]:
+    """Return the services with the drains of operators applied."""
+    drains = frozenset(document.drains)
+    if not drains:
+        return document.services
+    return tuple(_apply_drains(spec, drains) for spec in document.services)
+
+
+def _apply_drains(spec: ServiceSpec, drains: frozenset[str]) -> ServiceSpec:
+    upstreams = tuple(
+        msgspec.structs.replace(upstream, draining=True)
+        if drain_key(spec.service, upstream.name) in drains
+        else upstream
+        for upstream in spec.upstreams
+    )
+    return msgspec.structs.replace(spec, upstreams=upstreams)
--- a/marlbend/config/publish.py
+++ b/marlbend/config/publish.py
@@ -6,20 +6,25 @@
 effect even if another one followed.
 """
 
+import time
+from collections.abc import Callable
 from contextlib import suppress
 from typing import Final
 
 import msgspec
 
 from marlbend import messages
-from marlbend.config.documents import Configuration
+from marlbend.config.documents import Configuration, drain_key
+from marlbend.config.resting import find_rests, find_unrested
 from marlbend.errorcodes import ErrorKind
 from marlbend.errors import MarlbendError
 from marlbend.platform import Platform, StoredObject, WriteOutcome
 
 __all__ = (
     'CONFIG_PATH',
+    'change_configuration',
     'decode_configuration',
+    'drain_upstream',
     'publish_configuration',
     'read_configuration',
 )
@@ -58,17 +63,67 @@
     publication: str,
     expected: int | None = None,
 ) -> int:
-    """Write a configuration and return its version.
+    """Write the services of a configuration and return its version.
 
-    `expected` is the version it replaces, by default the current one.  Raise
-    PUBLISH_CONFLICT when another publication came first.
+    What operators drain stays drained.  `expected` is the version it replaces,
+    by default the current one.  Raise PUBLISH_CONFLICT when another
+    publication came first, SERVICE_INVALID when an address must rest.
     """
+    now = time.time()
+
+    def replace_services(current: Configuration) -> Configuration:
+        problems = list(find_unrested(current, document.services, now))
+        if problems:
+            raise MarlbendError(
+                ErrorKind.SERVICE_INVALID, messages.SERVICES_WRONG, problems
+            )
+        return msgspec.structs.replace(
+            current,
+            services=document.services,
+            resting=tuple(find_rests(current, document.services, now)),
+        )
+
+    return await change_configuration(
+        platform, replace_services, publication, expected
+    )
+
+
+async def drain_upstream(
+    platform: Platform,
+    service: str,
+    upstream: str,
+    publication: str,
+    *,
+    undo: bool = False,
+) -> int:
+    """Drain an upstream, or end that, and return the version.
+
+    Raise UPSTREAM_UNKNOWN when the published services do not name it.
+    """
+    key = drain_key(service, upstream)
+
+    def change_drains(current: Configuration) -> Configuration:
+        _check_known(current, service, upstream)
+        kept = {each for each in current.drains if each != key}
+        drains = kept if undo else kept | {key}
+        return msgspec.structs.replace(current, drains=tuple(sorted(drains)))
+
+    return await change_configuration(platform, change_drains, publication)
+
+
+async def change_configuration(
+    platform: Platform,
+    change: Callable[[Configuration], Configuration],
+    publication: str,
+    expected: int | None = None,
+) -> int:
+    """Write what `change` makes of the configuration; return the version."""
     version, current = await read_configuration(platform)
     if expected is not None and expected != version:
         raise _conflict(expected, version)
     earlier = current.publications[: REMEMBERED_PUBLICATIONS - 1]
     marked = msgspec.structs.replace(
-        document, publications=(publication, *earlier)
+        change(current), publications=(publication, *earlier)
     )
     body = msgspec.json.encode(marked)
     outcome = await _write(platform, body, version, publication)
@@ -77,6 +132,25 @@
     return outcome.version
 
 
+def _check_known(
+    current: Configuration,
+    service: str,
+    upstream: str,
+) -> None:
+    known = {
+        drain_key(spec.service, each.name)
+        for spec in current.services
+        for each in spec.upstreams
+    }
+    if drain_key(service, upstream) not in known:
+        raise MarlbendError(
+            ErrorKind.UPSTREAM_UNKNOWN,
+            messages.UPSTREAM_UNKNOWN.format(
+                service=service, upstream=upstream
+            ),
+        )
+
+
 async def _write(
     platform: Platform,
     body: bytes,
--- a/marlbend/daemon/following.py
+++ b/marlbend/daemon/following.py
@@ -18,7 +18,6 @@
 from marlbend.errors import MarlbendError
 from marlbend.events import Event, emit
 from marlbend.members import Fleet, note_listed
-from marlbend.members.fleet import CHASE_SECONDS
 from marlbend.members.prober import announce, spread_config
 from marlbend.platform import StoredObject, follow_object
 from marlbend.platform.instances import INSTANCES_PATH, decode_instances
@@ -99,7 +98,7 @@
     """Put a configuration in force unless it is old, and spread it."""
     now = time.monotonic()
     active = instance.path.active
-    if apply_configuration(active, version, document, now + CHASE_SECONDS):
+    if apply_configuration(active, version, document, now):
         instance.config_since = now
         instance.path.fleet.config_version = version
         emit(Event.CONFIG_IN_FORCE, version=version)
--- a/marlbend/errorcodes.py
+++ b/marlbend/errorcodes.py
@@ -23,6 +23,7 @@
     NOT_JSON = 'not-json'
     SETTINGS_INVALID = 'settings-invalid'
     SERVICE_INVALID = 'service-invalid'
+    UPSTREAM_UNKNOWN = 'upstream-unknown'
     PLATFORM_UNREACHABLE = 'platform-unreachable'
     PLATFORM_REFUSED = 'platform-refused'
     PUBLISH_CONFLICT = 'publish-conflict'
@@ -53,6 +54,7 @@
         ErrorKind.SERVICE_INVALID: Answer(
             13, 'Correct the service files named.'
         ),
+        ErrorKind.UPSTREAM_UNKNOWN: Answer(14, 'Name an upstream in force.'),
         ErrorKind.PLATFORM_UNREACHABLE: Answer(20, 'Try again later.'),
         ErrorKind.PLATFORM_REFUSED: Answer(21, 'Report it: a defect.'),
         ErrorKind.PUBLISH_CONFLICT: Answer(22, 'Read, merge by hand, publish.'),
--- a/marlbend/members/fleet.py
+++ b/marlbend/members/fleet.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 from typing import Final, final
 
+from marlbend.config.active import CHASE_SECONDS
 from marlbend.hashing import hash_text
 from marlbend.members.member import HOME_STATES, Member, MemberState
 from marlbend.members.slots import (
@@ -19,7 +20,6 @@
 )
 
 __all__ = (
-    'CHASE_SECONDS',
     'Fleet',
     'apply_member',
     'forget_departed',
@@ -28,8 +28,6 @@
     'view_mark',
 )
 
-# For this long after a slot moved its previous owner is asked first.
-CHASE_SECONDS: Final = 15.0
 # News of an instance has long died out after this time.
 TOMBSTONE_SECONDS: Final = 300.0
 
--- a/marlbend/packets/path.py
+++ b/marlbend/packets/path.py
@@ -306,13 +306,14 @@
     """Forward a packet of a known flow; tell if it was known.
 
     An entry whose upstream serves another service can only come from two
-    flows with one digest; it is not used.
+    flows with one digest; it is not used.  Nor is one whose upstream left the
+    service long ago: its address may soon belong to another.
     """
     entry = path.table.find(digest)
     if entry is None:
         return False
     upstream = path.active.pool.by_number[entry & UPSTREAM_MASK]
-    if upstream.service != service.name:
+    if upstream.service != service.name or upstream.given_up_at <= path.now:
         return False
     flags = packet_flags(packet)
     phase = entry_phase(entry)
--- a/marlbend/test/network.py
+++ b/marlbend/test/network.py
@@ -31,7 +31,6 @@
 from marlbend.flows import FlowTable
 from marlbend.lifecycle import make_lifecycle
 from marlbend.members import Fleet, Member, MemberState, apply_member
-from marlbend.members.fleet import CHASE_SECONDS
 from marlbend.members.prober import Prober
 from marlbend.packets import PacketPath, Senders, make_receivers
 from marlbend.packets.header import ACK, SYN
@@ -155,8 +154,9 @@
         """Give the latest configuration to some instances."""
         for name in listeners:
             path = self.by_name[name].path
-            until = self.now + CHASE_SECONDS
-            apply_configuration(path.active, self.version, self.document, until)
+            apply_configuration(
+                path.active, self.version, self.document, self.now
+            )
             path.fleet.config_version = path.active.version
 
     def pass_time(self, seconds: float) -> None:
--- a/marlbend/test/test_flows.py
+++ b/marlbend/test/test_flows.py
@@ -6,6 +6,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from marlbend.config import Configuration, ServiceSpec
+from marlbend.config.resting import (
+    GIVE_UP_SECONDS,
+    REST_SECONDS,
+    find_rests,
+    find_unrested,
+)
 from marlbend.flows import FlowTable, Timeouts, choose_default, choose_upstream
 from marlbend.flows.table import (
     CLOSING,
@@ -217,6 +224,41 @@
     assert pool.intern('catalog', '10.1.0.1', 6080) is first
 
 
+def test_flows_of_a_removed_upstream_are_given_up_before_reuse() -> None:
+    """Trap 2: also where the configuration that reuses it is not heard."""
+    network = Network(1)
+    node = network.add('i1', 'a')
+    network.tell(node.member, ['i1'])
+    network.publish(map(make_upstream, ('u1', 'u2')), ['i1'])
+    flows = {flow: network.open_flow(flow) for flow in range(20)}
+    network.publish([make_upstream('u2')], ['i1'])
+    network.pass_time(1)
+    for flow, upstream in flows.items():
+        assert network.send(flow, ACK)[0].upstream == upstream
+    network.pass_time(GIVE_UP_SECONDS)
+    node.path.catching_up = False
+    for late in flows:
+        assert network.send(late, ACK)[0].upstream == '10.1.0.2'
+    assert GIVE_UP_SECONDS < REST_SECONDS
+
+
+def test_address_rests_before_another_service_has_it() -> None:
+    """Trap 2: the publisher refuses it, and lets it go in the end."""
+    spec = ServiceSpec(
+        'a', ('10.0.0.1',), (80,), 'silence', (make_upstream('u1'),)
+    )
+    other = ServiceSpec('b', ('10.0.0.2',), (80,), 'silence', spec.upstreams)
+    before = Configuration((spec,))
+    rests = tuple(find_rests(before, (other,), 100))
+    assert [rest.address for rest in rests] == ['10.1.0.1']
+    resting = Configuration((), resting=rests)
+    assert list(find_unrested(before, (other,), 100))
+    assert list(find_unrested(resting, (other,), REST_SECONDS))
+    assert not list(find_unrested(resting, (spec,), REST_SECONDS))
+    assert not list(find_unrested(resting, (other,), REST_SECONDS + 101))
+    assert not list(find_rests(resting, (), REST_SECONDS + 101))
+
+
 def test_departed_instances_are_forgotten_but_not_at_once() -> None:
     """A record dropped while news of it travelled stopped the daemon."""
     myself, other = (
--- a/marlbend/test/test_programs.py
+++ b/marlbend/test/test_programs.py
@@ -7,6 +7,7 @@
 import sys
 from collections.abc import Awaitable, Callable
 from contextlib import aclosing
+from random import Random
 from typing import TypeVar
 
 import msgspec
@@ -14,12 +15,18 @@
 from aiohttp.test_utils import TestServer
 
 from bench.platform import STORE_KEY, Faults, Store, make_application
-from marlbend.config import Configuration
-from marlbend.config.publish import publish_configuration, read_configuration
+from marlbend.config import Configuration, collect_services
+from marlbend.config.documents import services_in_force
+from marlbend.config.publish import (
+    CONFIG_PATH,
+    drain_upstream,
+    publish_configuration,
+    read_configuration,
+)
 from marlbend.errorcodes import ErrorKind
 from marlbend.errors import MarlbendError
 from marlbend.packets.receive import open_socket
-from marlbend.platform import Platform
+from marlbend.platform import Platform, follow_object
 
 ROOT = pathlib.Path(__file__).parents[2]
 ADDRESS = '127.9.0.1'
@@ -149,6 +156,77 @@
     with_platform(work)
 
 
+def test_drain_outlasts_a_publication() -> None:
+    document = collect_services(
+        [
+            str(ROOT / f'examples/ukhozi/{name}.json')
+            for name in ('listen', 'studio')
+        ]
+    )
+
+    async def work(platform: Platform, store: Store) -> None:
+        await publish_configuration(platform, document, 'a')
+        await drain_upstream(platform, 'listen', 'listen-2', 'b')
+        await publish_configuration(platform, document, 'c')
+        current = (await read_configuration(platform))[1]
+        assert find_draining(current) == ['listen-2']
+        with pytest.raises(MarlbendError) as caught:
+            await drain_upstream(platform, 'listen', 'studio-1', 'd')
+        assert caught.value.kind is ErrorKind.UPSTREAM_UNKNOWN
+        await drain_upstream(platform, 'listen', 'listen-2', 'e', undo=True)
+        current = (await read_configuration(platform))[1]
+        assert not find_draining(current)
+
+    with_platform(work)
+
+
+def find_draining(document: Configuration) -> list[str]:
+    """Return the upstreams that drain."""
+    return [
+        upstream.name
+        for spec in services_in_force(document)
+        for upstream in spec.upstreams
+        if upstream.draining
+    ]
+
+
+def test_nothing_reverts_while_the_platform_lies() -> None:
+    """Trap 5: stale reads and an outage; the follower goes on afterwards."""
+
+    async def work(platform: Platform, store: Store) -> None:
+        for name in ('a', 'b'):
+            await publish_configuration(platform, Configuration(()), name)
+        seen: list[int] = []
+        follower = asyncio.create_task(
+            follow_object(
+                platform,
+                CONFIG_PATH,
+                lambda stored: seen.append(stored.version),
+                Random(1),
+            )
+        )
+        while not seen:
+            await asyncio.sleep(0.01)
+        for faults in (Faults(stale=True), Faults(down=True), Faults()):
+            store.faults = faults
+            async with store.changed:
+                store.changed.notify_all()
+            await wait_for_calls(store, store.calls + 2)
+        await publish_configuration(platform, Configuration(()), 'c')
+        while seen[-1] < 3:
+            await asyncio.sleep(0.01)
+        follower.cancel()
+        assert seen == [2, 3]
+
+    with_platform(work)
+
+
+async def wait_for_calls(store: Store, calls: int) -> None:
+    """Wait until the platform has been called so often."""
+    while store.calls < calls:
+        await asyncio.sleep(0.01)
+
+
 def test_platform_that_is_down_is_named() -> None:
     async def work(platform: Platform, store: Store) -> None:
         store.faults = Faults(down=True)
--- a/marlbend/upstreams/pool.py
+++ b/marlbend/upstreams/pool.py
@@ -4,6 +4,7 @@
 process lives, so a flow entry can never come to mean another service.
 """
 
+import math
 from typing import Final, final
 
 from marlbend.hashing import hash_text
@@ -22,13 +23,14 @@
     `tunnel` is the address and port that take IP-in-UDP; `slots` and
     `connections` come from the service file; `seed` keys its hash.
     `accepting` is false once the upstream is draining or gone from the
-    configuration.
+    configuration; from `given_up_at` (monotonic seconds) nothing is sent there.
     """
 
     __slots__ = (
         'accepting',
         'connections',
         'domain',
+        'given_up_at',
         'number',
         'seed',
         'service',
@@ -46,6 +48,7 @@
         self.slots = 0
         self.connections = 0
         self.accepting = False
+        self.given_up_at = math.inf
 
 
 @final
