Refer packets only where an instance holds itself to be the home

An earlier home noted everybody who asked it, also when it knew itself that it was no home any more; when the slot came back to it, it went on referring packets to the one that had asked. Change: a referral is noted only by an instance that holds itself to be the home at that moment, and is not used against the sender of the packet. Not shown: the scenario slots-come-and-go-and-come-back passes with and without the change, so the exact order of events is not brought about yet.

--- a/marlbend/flows/referrals.py
+++ b/marlbend/flows/referrals.py
@@ -2,8 +2,8 @@
 
 An instance that asks an earlier home about a flow is its home by a newer view
 or configuration, and will decide for the flow if nobody knows it.  Packets may
-still come to the earlier home, from entries that have not heard of the change
-either; it sends them to whoever asked.
+still come to an earlier home that has not heard of the change and holds itself
+to be the home; it sends them to whoever asked.
 
 Referrals live for one to two turns and are bounded in number.
 """
--- a/marlbend/packets/path.py
+++ b/marlbend/packets/path.py
@@ -207,7 +207,7 @@
     if home is None:
         path.counts[Outcome.DROPPED_NO_HOME] += 1
     elif home is path.fleet.myself or home is sender:
-        _act_as_home(path, packet, service, digest, frame)
+        _act_as_home(path, packet, service, digest, frame, sender)
     else:
         path.counts[Outcome.RELAYED] += 1
         _relay(path, packet, (frame.kind, frame.hops, frame.tries), home)
@@ -219,10 +219,11 @@
     service: Service,
     digest: int,
     frame: Frame,
+    sender: Member,
 ) -> None:
     """Ask the next earlier home that may know the flow, else decide."""
     referred = _find_referred(path, digest)
-    if referred is not None:
+    if referred is not None and referred is not sender:
         path.counts[Outcome.RELAYED] += 1
         _relay(path, packet, (frame.kind, frame.hops, frame.tries), referred)
         return
@@ -266,7 +267,8 @@
     digest = flow_digest(packet)
     if _forward_known(path, packet, service, digest):
         return
-    note_referral(path.referrals, digest, peer.name)
+    if home_of(path.fleet, service, digest) is path.fleet.myself:
+        note_referral(path.referrals, digest, peer.name)
     earlier = earlier_homes(path.fleet, service, digest, path.now)
     useful = (
         member
--- a/marlbend/test/test_programs.py
+++ b/marlbend/test/test_programs.py
@@ -239,3 +239,15 @@
 
 def test_faults_are_typed() -> None:
     assert msgspec.json.decode(b'{"down": true}', type=Faults).down
+
+
+def test_example_of_embedding_runs() -> None:
+    run = subprocess.run(
+        [sys.executable, str(ROOT / 'examples/embed.py')],
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=True,
+    )
+    assert run.stdout.startswith("4 packets to ['10.1.0.")
+    assert ',' not in run.stdout
