Share the domain tables of services with equal weights

Change: the table from digest to failure domain depends on the weights alone and is shared; what tells flows of services apart is in their digests.

--- a/marlbend/config/active.py
+++ b/marlbend/config/active.py
@@ -4,9 +4,10 @@
 ignored, whoever brought it, so that nothing ever reverts.
 """
 
+import functools
 import ipaddress
 import math
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator
 from typing import Final, final
 
 from marlbend.config.documents import (
@@ -30,6 +31,7 @@
 BUCKET_COUNT: Final = 256
 # For this long after the home of a flow moved, earlier homes are asked.
 CHASE_SECONDS: Final = 15.0
+CACHED_WEIGHTS: Final = 1024
 
 _PORT_BYTES: Final = 2
 
@@ -141,7 +143,7 @@
         if not upstream.draining
     )
     weights = _domain_weights(spec)
-    by_bucket = tuple(_assign_buckets(spec.service, weights))
+    by_bucket = _assign_buckets(tuple(weights.items()))
     if by_bucket != service.domain_by_bucket:
         service.previous_by_bucket = service.domain_by_bucket
         service.previous_until = now + CHASE_SECONDS
@@ -183,17 +185,22 @@
     return dict(sorted(weights.items()))
 
 
-def _assign_buckets(
-    service: str,
-    weights: Mapping[str, int],
-) -> Iterator[str]:
-    seeds = {domain: hash_text(f'{service}/{domain}') for domain in weights}
-    for bucket in range(BUCKET_COUNT):
-        scores = {
-            domain: weigh_hash(hash_number(bucket, seeds[domain]), weight)
-            for domain, weight in weights.items()
-        }
-        yield max(scores, key=scores.__getitem__, default='')
+@functools.lru_cache(maxsize=CACHED_WEIGHTS)
+def _assign_buckets(weights: tuple[tuple[str, int], ...]) -> tuple[str, ...]:
+    """Return the failure domain of each bucket, by the weights of domains.
+
+    Services with equal weights share one result: what tells their flows apart
+    is in the digests.
+    """
+    return tuple(_choose_domain(weights, each) for each in range(BUCKET_COUNT))
+
+
+def _choose_domain(weights: tuple[tuple[str, int], ...], bucket: int) -> str:
+    scores = {
+        domain: weigh_hash(hash_number(bucket, hash_text(domain)), weight)
+        for domain, weight in weights
+    }
+    return max(scores, key=scores.__getitem__, default='')
 
 
 def _endpoints(spec: ServiceSpec) -> Iterator[bytes]:
