Run the whole path and 10,000 random datagrams in the tests

Change: test_processes.py: flows over 4 instances while an upstream drains and an instance stops; random and truncated datagrams, each counted, none sent on.

--- /dev/null
+++ b/marlbend/test/test_processes.py
@@ -0,0 +1,89 @@
+"""Run real processes on loopback: the whole path, and bytes from strangers."""
+
+import asyncio
+import itertools
+import socket
+from random import Random
+
+from bench.callers import FlowPlan
+from bench.changes import change_upstream, publish_and_time, stop_instance
+from bench.lab import make_packet, open_lab, sink_address
+from bench.load import Background, finish_background, start_background
+from bench.segments import TUNNEL_PORT
+from bench.stage import Stage, ask_statuses, end_upstreams, open_stage
+from marlbend.packets import Outcome
+from marlbend.packets.receive import open_socket
+
+RANDOM_DATAGRAMS = 10_000
+BATCH = 200
+WAIT_SECONDS = 60
+LONG_FLOWS = 60
+
+
+def test_flows_survive_a_drain_and_a_stop() -> None:
+    async def run() -> None:
+        async with open_stage('ukhozi', 4, 71) as stage:
+            plan = FlowPlan(stage.endpoint('listen'), 10, 0.5)
+            background = Background(stage.callers)
+            open_now = await start_background(
+                background,
+                list(itertools.repeat(plan, LONG_FLOWS)),
+                FlowPlan(stage.endpoint('studio'), 1, 0),
+                20,
+            )
+            assert len(open_now) == LONG_FLOWS
+            change_upstream(stage, 'listen', 'listen-1', draining=True)
+            await publish_and_time(stage)
+            await stop_instance(stage, 'i2')
+            faults = await finish_background(background)
+            assert not faults
+            counts = await end_upstreams(stage)
+            assert not sum(count.misdelivered for count in counts.values())
+
+    asyncio.run(run())
+
+
+def test_random_datagrams_at_an_instance_are_counted() -> None:
+    """Whatever strangers send is counted by kind and goes nowhere."""
+
+    async def run() -> None:
+        async with open_lab(72, 1) as stage:
+            with open_socket(sink_address(stage), TUNNEL_PORT) as sink:
+                await send_random(stage)
+                assert not received_anything(sink)
+
+    asyncio.run(run())
+
+
+async def send_random(stage: Stage) -> None:
+    """Send random and truncated datagrams, none faster than counted."""
+    random = Random(1)
+    whole = make_packet((stage.address(4, 1), 5000))
+    listed = next(iter(stage.listed.values()))
+    sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sender.connect((listed.address, TUNNEL_PORT))
+    with sender:
+        for sent in range(1, RANDOM_DATAGRAMS + 1):
+            kept = random.randrange(len(whole))
+            noise = random.randbytes(random.randrange(1, 60))
+            sender.send(random.choice((whole[:kept] or noise, noise)))
+            if sent % BATCH == 0:
+                await wait_until_counted(stage, sent)
+
+
+async def wait_until_counted(stage: Stage, expected: int) -> None:
+    """Wait until the instance has counted so many datagrams, all dropped."""
+    async with asyncio.timeout(WAIT_SECONDS):
+        while True:
+            for status in (await ask_statuses(stage)).values():
+                assert Outcome.FORWARDED.name.lower() not in status.packets
+                if sum(status.packets.values()) == expected:
+                    return
+
+
+def received_anything(sink: socket.socket) -> bool:
+    """Tell whether a datagram has come."""
+    try:
+        return bool(sink.recv(1))
+    except BlockingIOError:
+        return False
