--- a/bench/platform.py
+++ b/bench/platform.py
@@ -25,7 +25,6 @@
 _NOT_MODIFIED: Final = 304
 _NOT_FOUND: Final = 404
 _CONFLICT: Final = 412
-_UNAVAILABLE: Final = 503
 
 
 class Faults(msgspec.Struct, frozen=True):
--- a/examples/embed.py
+++ b/examples/embed.py
@@ -18,7 +18,7 @@
 from marlbend.flows import FlowTable
 from marlbend.members import Fleet, Member, apply_member
 from marlbend.packets import PacketPath, Senders, make_receivers
-from marlbend.packets.path import keep_time
+from marlbend.packets.state import keep_time
 
 Address = tuple[str, int]
 Relay = Callable[[bytes, Address], None]
--- a/marlbend/daemon/instance.py
+++ b/marlbend/daemon/instance.py
@@ -28,7 +28,7 @@
 from marlbend.members.probe import step
 from marlbend.members.prober import announce, farewell
 from marlbend.observe.meter import metered
-from marlbend.packets.path import keep_time
+from marlbend.packets.state import keep_time
 from marlbend.upstreams.load import settle_rates
 
 __all__ = ('run_instance',)
--- a/marlbend/main.py
+++ b/marlbend/main.py
@@ -31,13 +31,13 @@
 from marlbend.observe.status import describe_instance
 from marlbend.options import Settings, load_settings
 from marlbend.packets import Outcome, PacketPath, Senders, make_receivers
-from marlbend.packets.path import keep_time
 from marlbend.packets.receive import (
     make_sender,
     open_socket,
     start_reading,
     start_reading_senders,
 )
+from marlbend.packets.state import keep_time
 from marlbend.platform import Platform
 from marlbend.wire.messages import (
     HandOver,
--- a/marlbend/packets/path.py
+++ b/marlbend/packets/path.py
@@ -22,32 +22,24 @@
 """
 
 from collections.abc import Callable
-from typing import Final, final
-
-from marlbend.config import ActiveConfig, Service
-from marlbend.flows import FlowTable, choose_default, choose_upstream
-from marlbend.flows.referrals import (
-    Referrals,
-    find_referral,
-    note_referral,
-    turn_referrals,
-)
+from typing import Final
+
+from marlbend.config import Service
+from marlbend.flows.referrals import find_referral, note_referral
 from marlbend.flows.table import (
     CLOSING,
     ESTABLISHED,
     HALF_OPEN,
     UPSTREAM_MASK,
     entry_phase,
-    mark_departure,
-    record_flow,
     set_phase,
     touch_flow,
 )
-from marlbend.members import Fleet, Member, earlier_homes, home_of
+from marlbend.members import Member, earlier_homes, home_of
 from marlbend.members.homes import is_useful
 from marlbend.members.member import HOME_STATES
+from marlbend.packets.decide import decide, forward
 from marlbend.packets.header import (
-    ACK,
     FIN,
     RST,
     SYN,
@@ -57,8 +49,7 @@
     packet_flags,
 )
 from marlbend.packets.outcomes import Outcome
-from marlbend.upstreams import Loads, Upstream
-from marlbend.upstreams.load import count_arrival, others_share
+from marlbend.packets.state import Address, PacketPath
 from marlbend.wire.relay import (
     ENTRY,
     FRAME_BYTES,
@@ -68,86 +59,14 @@
     read_frame,
 )
 
-__all__ = ('PacketPath', 'Senders', 'keep_time', 'make_receivers')
+__all__ = ('make_receivers',)
 
-# The clock moves at least once a second in a process that runs.
-PAUSE_SECONDS: Final = 2.5
 _SPECIAL_FLAGS: Final = SYN | FIN | RST
 
-Address = tuple[str, int]
-Send = Callable[[bytes, Address], None]
 Receive = Callable[[bytes], None]
 ReceiveFrom = Callable[[bytes, Address], None]
 
 
-@final
-class Senders:
-    """Hold the two ways out: to an upstream's tunnel and to a peer."""
-
-    __slots__ = ('forward', 'relay')
-
-    def __init__(self, forward: Send, relay: Send) -> None:
-        """Keep the functions that send a datagram to an address."""
-        self.forward = forward
-        self.relay = relay
-
-
-@final
-class PacketPath:
-    """Hold the state that decisions read and write.
-
-    `now` is monotonic seconds and `tick` the same in whole seconds.
-    `homes` is the number of homes in the view.  While `catching_up`, after a
-    pause of the process, nothing is decided.
-    """
-
-    __slots__ = (
-        'active',
-        'catching_up',
-        'counts',
-        'fleet',
-        'half_open_limit',
-        'homes',
-        'loads',
-        'now',
-        'referrals',
-        'senders',
-        'table',
-        'tick',
-    )
-
-    def __init__(
-        self,
-        active: ActiveConfig,
-        fleet: Fleet,
-        table: FlowTable,
-        senders: Senders,
-        half_open_limit: int,
-    ) -> None:
-        """Wire the parts; counters start at zero."""
-        self.active = active
-        self.fleet = fleet
-        self.table = table
-        self.senders = senders
-        self.half_open_limit = half_open_limit
-        self.counts = [0 for _ in Outcome]
-        self.loads = Loads()
-        self.referrals = Referrals()
-        self.homes = 1
-        self.catching_up = False
-        self.now: float = 0
-        self.tick = 0
-
-
-def keep_time(path: PacketPath, now: float) -> None:
-    """Move the clock; a large step means that this process was paused."""
-    if path.now and now - path.now > PAUSE_SECONDS:
-        path.catching_up = True
-    path.now = now
-    path.tick = int(now)
-    turn_referrals(path.referrals, now)
-
-
 def make_receivers(path: PacketPath) -> tuple[Receive, ReceiveFrom]:
     """Return the functions that take fabric packets and relayed packets."""
 
@@ -237,7 +156,7 @@
     if path.catching_up:
         path.counts[Outcome.DROPPED_CATCHING_UP] += 1
     elif asked is None:
-        _decide(path, packet, service, digest)
+        decide(path, packet, service, digest)
     else:
         path.counts[Outcome.CHASED] += 1
         _relay(path, packet, (RelayKind.CHASE, frame.hops, tries), asked)
@@ -325,7 +244,7 @@
         _follow_flags(path, digest, flags, phase)
     else:
         touch_flow(path.table, digest, entry, path.tick)
-    _forward(path, packet, upstream)
+    forward(path, packet, upstream)
     return True
 
 
@@ -339,89 +258,3 @@
         set_phase(path.table, digest, CLOSING, path.tick)
     elif phase == HALF_OPEN and not flags & SYN:
         set_phase(path.table, digest, ESTABLISHED, path.tick)
-
-
-def _decide(
-    path: PacketPath,
-    packet: bytes,
-    service: Service,
-    digest: int,
-) -> None:
-    flags = packet_flags(packet)
-    if flags & SYN and not flags & ACK:
-        upstream = _start_flow(path, service, digest)
-    else:
-        upstream = _recover_flow(path, service, digest)
-    if upstream is None:
-        path.counts[Outcome.DROPPED_NO_UPSTREAM] += 1
-    else:
-        _forward(path, packet, upstream)
-
-
-def _start_flow(
-    path: PacketPath,
-    service: Service,
-    digest: int,
-) -> Upstream | None:
-    """Choose the upstream of a new flow and record it.
-
-    A flood of SYNs fills the half-open share of the table; beyond it the
-    default needs no entry, since it can be computed again.
-    """
-    table = path.table
-    if not _has_room(path):
-        return choose_default(digest, service.accepting)
-    upstream = choose_upstream(
-        digest, service.accepting, _make_load(path, service)
-    )
-    if upstream is not None:
-        count_arrival(path.loads, service.name)
-        record_flow(table, digest, upstream.number, HALF_OPEN, path.tick)
-        if upstream is not choose_default(digest, service.accepting):
-            mark_departure(table, digest)
-    return upstream
-
-
-def _make_load(
-    path: PacketPath,
-    service: Service,
-) -> Callable[[Upstream], float]:
-    share = others_share(path.loads, service.name, path.homes)
-    opened = path.table.open_by_number
-    others = path.loads.others_by_number
-
-    def load_of(upstream: Upstream) -> float:
-        number = upstream.number
-        flows = opened.get(number, 0) + share * others.get(number, 0)
-        return flows / upstream.connections
-
-    return load_of
-
-
-def _recover_flow(
-    path: PacketPath,
-    service: Service,
-    digest: int,
-) -> Upstream | None:
-    """Take a flow up again whose home is lost: it was on its default.
-
-    It stays half-open until its next packet, so that stray packets cannot
-    fill the table.
-    """
-    table = path.table
-    upstream = choose_default(digest, service.accepting)
-    if upstream is not None and _has_room(path):
-        record_flow(table, digest, upstream.number, HALF_OPEN, path.tick)
-    return upstream
-
-
-def _has_room(path: PacketPath) -> bool:
-    table = path.table
-    if table.count_by_phase[HALF_OPEN] >= path.half_open_limit:
-        return False
-    return len(table) < table.limit
-
-
-def _forward(path: PacketPath, packet: bytes, upstream: Upstream) -> None:
-    path.counts[Outcome.FORWARDED] += 1
-    path.senders.forward(packet, upstream.tunnel)
--- a/marlbend/test/network.py
+++ b/marlbend/test/network.py
@@ -34,7 +34,7 @@
 from marlbend.members.prober import Prober
 from marlbend.packets import PacketPath, Senders, make_receivers
 from marlbend.packets.header import ACK, SYN
-from marlbend.packets.path import keep_time
+from marlbend.packets.state import keep_time
 from marlbend.platform import Platform
 from marlbend.wire.messages import HandOver, HandOverReply
 
