Start without a pause; hear only known instances

The first step of the prober took the time since zero for a pause, and for a second after its start an instance dropped every unknown flow as one that catches up. Change: the first step is no pause; control messages from addresses that are no known instance are counted and dropped, but for a newcomer's own record. Not there: a keyed check, so a forged source address is still believed.

--- a/bench/cost.py
+++ b/bench/cost.py
@@ -12,8 +12,10 @@
 
 __all__ = ('CostReport', 'run_cost')
 
-# Pairs of fleets are measured side by side.
-FLEET_SIZES: Final = ((4, 32), (8, 16))
+# Instances in a fleet; what does not disturb the other is measured together.
+SMALLEST_FLEET: Final = 4
+FLEETS_BETWEEN: Final = (8, 16)
+LARGEST_FLEET: Final = 32
 
 
 class CostReport(msgspec.Struct, frozen=True):
@@ -38,15 +40,15 @@
 async def run_cost(seed: int) -> CostReport:
     """Measure forwarding, then memory, then control."""
     rates = await measure_forwarding(seed)
-    memory = await measure_memory(seed)
-    control = [
-        slope
-        for sizes in FLEET_SIZES
-        for slope in await asyncio.gather(
-            *(measure_control(size, seed) for size in sizes)
-        )
-    ]
-    control.sort(key=lambda slope: slope.instances)
+    memory, smallest, largest = await asyncio.gather(
+        measure_memory(seed),
+        measure_control(SMALLEST_FLEET, seed),
+        measure_control(LARGEST_FLEET, seed),
+    )
+    between = await asyncio.gather(
+        *(measure_control(size, seed) for size in FLEETS_BETWEEN)
+    )
+    control = (smallest, *between, largest)
     return CostReport(
         forward_ratio=rates.home / rates.bare,
         relay_ratio=rates.relay / rates.bare,
@@ -55,6 +57,6 @@
         bytes_per_flow=bytes_per_flow(memory),
         packets_per_s=rates,
         memory=memory,
-        control=tuple(control),
+        control=control,
         decisions=measure_decisions(seed),
     )
--- a/marlbend/cli/reports.py
+++ b/marlbend/cli/reports.py
@@ -42,7 +42,8 @@
     'relay share {relay_share:.0%}',
     '  decision {decision_p50_us:.1f} us median, {decision_p99_us:.1f} us p99',
     '  control {control_bytes_sent} bytes sent, '
-    '{control_bytes_received} received; memory {resident_megabytes:.0f} MB',
+    '{control_bytes_received} received, {control_malformed} malformed, '
+    '{control_foreign} foreign messages; memory {resident_megabytes:.0f} MB',
 )
 
 
--- a/marlbend/daemon/control.py
+++ b/marlbend/daemon/control.py
@@ -12,6 +12,7 @@
 from marlbend.observe import Metrics
 from marlbend.wire.control import ControlMessage, decode, encode
 from marlbend.wire.copies import Copies, LoadReport
+from marlbend.wire.liveness import Ping
 
 __all__ = ('make_outbox', 'make_receiver')
 
@@ -45,13 +46,35 @@
         message = decode(datagram)
         if message is None:
             metrics.control_malformed += 1
-        else:
+        elif _may_speak(instance, message, sender):
             _dispatch(instance, message, sender)
+        else:
+            metrics.control_foreign += 1
         metrics.control_seconds += time.thread_time() - started
 
     return receive
 
 
+def _may_speak(
+    instance: Instance,
+    message: ControlMessage,
+    sender: Address,
+) -> bool:
+    """Tell whether the sender is a known instance, or tells who it is.
+
+    A joining instance is heard of by its own record, sent from the address
+    that the record names.
+    """
+    if sender in instance.path.fleet.member_by_control:
+        return True
+    if not isinstance(message, Ping):
+        return False
+    return any(
+        (member.address, member.control_port) == sender
+        for member in message.news
+    )
+
+
 def _dispatch(
     instance: Instance,
     message: ControlMessage,
--- a/marlbend/daemon/following.py
+++ b/marlbend/daemon/following.py
@@ -137,10 +137,9 @@
 
 async def _fetch(instance: Instance, control: Address) -> None:
     """Fetch from the instance behind a control address."""
-    for member in tuple(instance.path.fleet.member_by_name.values()):
-        if (member.address, member.control_port) == control:
-            await fetch_snapshot(instance, member.address, member.admin_port)
-            return
+    member = instance.path.fleet.member_by_control.get(control)
+    if member is not None:
+        await fetch_snapshot(instance, member.address, member.admin_port)
 
 
 async def _settle_difference(instance: Instance, control: Address) -> None:
--- a/marlbend/members/fleet.py
+++ b/marlbend/members/fleet.py
@@ -54,6 +54,7 @@
         'given_by_name',
         'given_mark',
         'listed',
+        'member_by_control',
         'member_by_name',
         'member_by_relay',
         'myself',
@@ -72,6 +73,7 @@
         self.listed: frozenset[str] = frozenset()
         self.member_by_name: dict[str, Member] = {}
         self.member_by_relay: dict[tuple[str, int], Member] = {}
+        self.member_by_control: dict[tuple[str, int], Member] = {}
         self.slots_by_domain: dict[str, SlotTable] = {}
         self.completed_by_name: dict[str, int] = {}
         self.departed_at: dict[str, float] = {}
@@ -93,6 +95,7 @@
         _remember(fleet, member, now)
     fleet.digest ^= _home_digest(known) ^ _home_digest(member)
     fleet.member_by_name[member.name] = member
+    fleet.member_by_control[member.address, member.control_port] = member
     if member.name == fleet.myself.name:
         fleet.myself = member
     fleet.version += 1
@@ -124,7 +127,8 @@
     ]
     for name in dropped:
         fleet.departed_at.pop(name)
-        fleet.member_by_name.pop(name)
+        member = fleet.member_by_name.pop(name)
+        fleet.member_by_control.pop((member.address, member.control_port), None)
         fleet.completed_by_name.pop(name, None)
         fleet.given_by_name.pop(name, None)
     return len(dropped)
--- a/marlbend/members/probe.py
+++ b/marlbend/members/probe.py
@@ -49,7 +49,7 @@
 
 def step(prober: Prober, now: float) -> Iterator[Letter]:
     """Do what is due at `now`; call it several times in a period."""
-    if now - prober.last_step > PAUSE_SECONDS:
+    if prober.last_step and now - prober.last_step > PAUSE_SECONDS:
         _forgive(prober, now)
     prober.last_step = now
     yield from _follow_probes(prober, now)
--- a/marlbend/observe/metrics.py
+++ b/marlbend/observe/metrics.py
@@ -31,12 +31,13 @@
     """Hold the histogram of decision times and the control counters.
 
     Decision times are nanoseconds from a packet in hand to a packet sent;
-    `control_sent` and `control_received` count bytes of control messages and
-    `control_malformed` those that could not be decoded; `control_seconds` is
-    processor time.
+    `control_sent` and `control_received` count bytes of control messages,
+    `control_malformed` those that could not be decoded, `control_foreign`
+    those of senders that are no instance; `control_seconds` is processor time.
     """
 
     __slots__ = (
+        'control_foreign',
         'control_malformed',
         'control_received',
         'control_seconds',
@@ -50,6 +51,7 @@
         self.control_seconds: float = 0
         self.control_received = 0
         self.control_malformed = 0
+        self.control_foreign = 0
         self.decisions = HdrHistogram(
             _LOWEST_NANOSECONDS,
             _HIGHEST_NANOSECONDS,
--- a/marlbend/observe/status.py
+++ b/marlbend/observe/status.py
@@ -56,6 +56,7 @@
         control_bytes_sent=metrics.control_sent,
         control_bytes_received=metrics.control_received,
         control_malformed=metrics.control_malformed,
+        control_foreign=metrics.control_foreign,
         control_seconds=metrics.control_seconds,
         processor_seconds=processor_seconds(),
         resident_bytes=resident_bytes(),
--- a/marlbend/test/test_probe.py
+++ b/marlbend/test/test_probe.py
@@ -179,3 +179,11 @@
         group.run(5)
         rates.append((group.letters - before) / count)
     assert max(rates) <= 1.1 * min(rates)
+
+
+def test_start_is_no_pause() -> None:
+    """A new instance dropped unknown flows for its first second."""
+    group = Group(1, 1)
+    group.run(1)
+    for prober in group.prober_by_address.values():
+        assert not prober.caught_up_at
--- a/marlbend/wire/messages.py
+++ b/marlbend/wire/messages.py
@@ -63,6 +63,7 @@
     control_bytes_sent: int
     control_bytes_received: int
     control_malformed: int
+    control_foreign: int
     control_seconds: float
     processor_seconds: float
     resident_bytes: int
