Pass a question on to the newcomer that asked it before

Two newcomers that have not heard of each other can both be home to a flow: one opens it, the other asks the earlier home, is told it is unknown, and sends it to its default. Change: an earlier home passes the question on to whoever asked it before, also to one that it knows from the platform only; where a domain has no instance, the earlier owners in the domain that stands in are asked.

--- a/marlbend/members/fleet.py
+++ b/marlbend/members/fleet.py
@@ -11,7 +11,12 @@
 
 from marlbend.config.active import CHASE_SECONDS
 from marlbend.hashing import hash_text
-from marlbend.members.member import HOME_STATES, Member, MemberState
+from marlbend.members.member import (
+    DEPARTED_STATES,
+    HOME_STATES,
+    Member,
+    MemberState,
+)
 from marlbend.members.slots import (
     SlotTable,
     add_member,
@@ -31,8 +36,6 @@
 # News of an instance has long died out after this time.
 TOMBSTONE_SECONDS: Final = 300.0
 
-_DEPARTED_STATES: Final = frozenset((MemberState.LEAVING, MemberState.GONE))
-
 
 @final
 class Fleet:
@@ -99,7 +102,7 @@
     if member.name == fleet.myself.name:
         fleet.myself = member
     fleet.version += 1
-    if member.state in _DEPARTED_STATES:
+    if member.state in DEPARTED_STATES:
         fleet.departed_at[member.name] = now
     else:
         fleet.departed_at.pop(member.name, None)
--- a/marlbend/members/homes.py
+++ b/marlbend/members/homes.py
@@ -65,6 +65,8 @@
     bucket = digest >> BUCKET_SHIFT
     table = fleet.slots_by_domain.get(service.domain_by_bucket[bucket])
     names = [] if table is None else _recent_names(table, slot, now)
+    if table is None or table.owners[slot] is None:
+        names.extend(_names_elsewhere(fleet, service, slot, now))
     if service.previous_until > now:
         earlier = fleet.slots_by_domain.get(service.previous_by_bucket[bucket])
         if earlier is not None:
@@ -141,6 +143,19 @@
     ]
 
 
+def _names_elsewhere(
+    fleet: Fleet,
+    service: Service,
+    slot: int,
+    now: float,
+) -> list[str]:
+    """Return earlier owners of a slot whose own domain has no instance."""
+    owner = _owner_elsewhere(fleet, service, slot, '')
+    if owner is None:
+        return []
+    return _recent_names(fleet.slots_by_domain[owner.domain], slot, now)
+
+
 def _owner_elsewhere(
     fleet: Fleet,
     service: Service,
--- a/marlbend/members/member.py
+++ b/marlbend/members/member.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-__all__ = ('HOME_STATES', 'Member', 'MemberState')
+__all__ = ('DEPARTED_STATES', 'HOME_STATES', 'Member', 'MemberState')
 
 
 @enum.unique
@@ -25,6 +25,7 @@
 
 # A suspect keeps its flows until it is known to be gone.
 HOME_STATES: Final = frozenset((MemberState.LIVE, MemberState.SUSPECT))
+DEPARTED_STATES: Final = frozenset((MemberState.LEAVING, MemberState.GONE))
 
 
 class Member(msgspec.Struct, frozen=True, array_like=True):
--- a/marlbend/packets/path.py
+++ b/marlbend/packets/path.py
@@ -37,7 +37,7 @@
 )
 from marlbend.members import Member, earlier_homes, home_of
 from marlbend.members.homes import is_useful
-from marlbend.members.member import HOME_STATES
+from marlbend.members.member import DEPARTED_STATES
 from marlbend.packets.decide import decide, forward
 from marlbend.packets.header import (
     FIN,
@@ -166,7 +166,7 @@
     """Return the instance that is the home by a view not heard of here."""
     name = find_referral(path.referrals, digest)
     member = path.fleet.member_by_name.get(name or '')
-    if member is None or member.state not in HOME_STATES:
+    if member is None or member.state in DEPARTED_STATES:
         return None
     return member
 
@@ -186,7 +186,11 @@
     digest = flow_digest(packet)
     if _forward_known(path, packet, service, digest):
         return
-    if home_of(path.fleet, service, digest) is path.fleet.myself:
+    referred = _find_referred(path, digest)
+    if (
+        referred is None
+        and home_of(path.fleet, service, digest) is path.fleet.myself
+    ):
         note_referral(path.referrals, digest, peer.name)
     earlier = earlier_homes(path.fleet, service, digest, path.now)
     useful = (
@@ -195,6 +199,9 @@
         if member is not peer and is_useful(path.fleet, member.name)
     )
     asked = next(useful, None)
+    if referred is not None and referred is not peer:
+        # Two newcomers may not have heard of each other: one asked before.
+        asked = referred
     if asked is None:
         path.counts[Outcome.RETURNED] += 1
         parts = (RelayKind.DECIDE, frame.hops, frame.tries)
--- a/marlbend/test/test_network.py
+++ b/marlbend/test/test_network.py
@@ -9,6 +9,7 @@
 from types import MappingProxyType
 from typing import Final
 
+import msgspec
 import pytest
 
 from marlbend.config import UpstreamSpec
@@ -222,3 +223,28 @@
 )
 def test_network(case: Case, seed: int) -> None:
     run_case(case, seed)
+
+
+@pytest.mark.parametrize('seed', range(1, 6))
+def test_newcomers_may_not_have_heard_of_each_other(seed: int) -> None:
+    """Both ask an earlier home that knows them from the platform only."""
+    network = Network(seed)
+    old = ['i1', 'i2', 'i3']
+    for name in old:
+        network.add(name, 'a')
+    for known in old:
+        network.tell(network.by_name[known].member, old)
+    network.publish(map(make_upstream, ('u1', 'u2', 'u3')), old)
+    for newcomer in ('i4', 'i5'):
+        node = network.add(newcomer, 'a')
+        network.put_in_force([newcomer])
+        listed = msgspec.structs.replace(
+            node.member, incarnation=0, state=MemberState.LISTED
+        )
+        network.tell(listed, old)
+        for heard in (*old, newcomer):
+            network.tell(network.by_name[heard].member, [newcomer])
+    for flow in range(300):
+        opened = network.send(flow, SYN, 'i4')
+        for delivery in network.send(flow, ACK, 'i5'):
+            assert [delivery.upstream] == [each.upstream for each in opened]
