Refer a packet only near the start of its way

Instances that had asked each other passed a question round until the hop limit, and again at each try. Change: referrals are followed only within the first two hops.

--- a/marlbend/packets/path.py
+++ b/marlbend/packets/path.py
@@ -61,6 +61,8 @@
 
 __all__ = ('make_receivers',)
 
+# From entry to home, and on to an earlier home.
+REFERRED_HOPS: Final = 2
 _SPECIAL_FLAGS: Final = SYN | FIN | RST
 
 Receive = Callable[[bytes], None]
@@ -141,7 +143,7 @@
     sender: Member,
 ) -> None:
     """Ask the next earlier home that may know the flow, else decide."""
-    referred = _find_referred(path, digest)
+    referred = _find_referred(path, digest, frame)
     if referred is not None and referred is not sender:
         path.counts[Outcome.RELAYED] += 1
         _relay(path, packet, (frame.kind, frame.hops, frame.tries), referred)
@@ -162,8 +164,18 @@
         _relay(path, packet, (RelayKind.CHASE, frame.hops, tries), asked)
 
 
-def _find_referred(path: PacketPath, digest: int) -> Member | None:
-    """Return the instance that is the home by a view not heard of here."""
+def _find_referred(
+    path: PacketPath,
+    digest: int,
+    frame: Frame,
+) -> Member | None:
+    """Return the instance that is the home by a view not heard of here.
+
+    A packet that has come a longer way is not referred again: instances that
+    asked each other would send it to and fro.
+    """
+    if frame.hops > REFERRED_HOPS:
+        return None
     name = find_referral(path.referrals, digest)
     member = path.fleet.member_by_name.get(name or '')
     if member is None or member.state in DEPARTED_STATES:
@@ -186,7 +198,7 @@
     digest = flow_digest(packet)
     if _forward_known(path, packet, service, digest):
         return
-    referred = _find_referred(path, digest)
+    referred = _find_referred(path, digest, frame)
     if (
         referred is None
         and home_of(path.fleet, service, digest) is path.fleet.myself
