--- a/bench/cost.py
+++ b/bench/cost.py
@@ -40,8 +40,8 @@
 async def run_cost(seed: int) -> CostReport:
     """Measure forwarding, then memory, then control."""
     rates = await measure_forwarding(seed)
-    memory, smallest, largest = await asyncio.gather(
-        measure_memory(seed),
+    memory = await measure_memory(seed)
+    smallest, largest = await asyncio.gather(
         measure_control(SMALLEST_FLEET, seed),
         measure_control(LARGEST_FLEET, seed),
     )
