--- a/bench/callers.py
+++ b/bench/callers.py
@@ -24,7 +24,7 @@
     read_segment,
 )
 from bench.upstreams import ANSWER_SEGMENTS
-from marlbend.packets.receive import open_socket, start_reading
+from marlbend.sockets import open_socket, start_reading
 
 __all__ = (
     'Callers',
--- a/bench/forwarding.py
+++ b/bench/forwarding.py
@@ -25,7 +25,7 @@
 from bench.processes import kill_process, start_module
 from bench.segments import TUNNEL_PORT
 from bench.stage import Stage
-from marlbend.packets.receive import open_socket
+from marlbend.sockets import open_socket
 
 __all__ = ('ForwardingRates', 'measure_forwarding')
 
--- a/bench/stage.py
+++ b/bench/stage.py
@@ -28,8 +28,8 @@
 from marlbend.config.publish import publish_configuration
 from marlbend.errors import MarlbendError
 from marlbend.main import SLOT_COUNT
-from marlbend.packets.receive import open_socket
-from marlbend.platform import Platform
+from marlbend.sockets import open_socket
+from marlbend.platform.client import Platform
 from marlbend.platform.instances import INSTANCES_PATH, ListedInstance
 from marlbend.wire.messages import Status
 from marlbend.wire.rpc import call_status
--- a/bench/upstreams.py
+++ b/bench/upstreams.py
@@ -29,7 +29,7 @@
     read_segment,
 )
 from marlbend.config import ServiceSpec
-from marlbend.packets.receive import open_socket, start_reading
+from marlbend.sockets import open_socket, start_reading
 
 __all__ = ('ANSWER_SEGMENTS', 'UpstreamCounts')
 
--- a/marlbend/__init__.py
+++ b/marlbend/__init__.py
@@ -4,9 +4,9 @@
 `marlbend.main` wires them into the daemon, `marlbend.cli` is the tool.
 """
 
-from importlib import metadata
+
 from typing import Final
 
 __all__ = ('VERSION',)
 
-VERSION: Final = metadata.version('marlbend')
+VERSION: Final = '0.2.0'
--- a/marlbend/cli/main.py
+++ b/marlbend/cli/main.py
@@ -19,7 +19,7 @@
 from marlbend.config.publish import drain_upstream, publish_configuration
 from marlbend.errorcodes import ErrorKind
 from marlbend.errors import MarlbendError
-from marlbend.platform import Platform
+from marlbend.platform.client import Platform
 
 __all__ = ('run',)
 
--- a/marlbend/cli/reports.py
+++ b/marlbend/cli/reports.py
@@ -11,7 +11,7 @@
 from marlbend.config import Configuration
 from marlbend.errors import MarlbendError
 from marlbend.members import Member
-from marlbend.platform import Platform
+from marlbend.platform.client import Platform
 from marlbend.platform.instances import INSTANCES_PATH, decode_instances
 from marlbend.wire.messages import MemberStatus, Status
 from marlbend.wire.rpc import call_status
--- a/marlbend/config/publish.py
+++ b/marlbend/config/publish.py
@@ -18,7 +18,7 @@
 from marlbend.config.resting import find_rests, find_unrested
 from marlbend.errorcodes import ErrorKind
 from marlbend.errors import MarlbendError
-from marlbend.platform import Platform, StoredObject, WriteOutcome
+from marlbend.platform.client import Platform, StoredObject, WriteOutcome
 
 __all__ = (
     'CONFIG_PATH',
--- a/marlbend/daemon/following.py
+++ b/marlbend/daemon/following.py
@@ -19,7 +19,8 @@
 from marlbend.events import Event, emit
 from marlbend.members import Fleet, note_listed
 from marlbend.members.prober import announce, spread_config
-from marlbend.platform import StoredObject, follow_object
+from marlbend.platform.client import StoredObject
+from marlbend.platform.follow import follow_object
 from marlbend.platform.instances import INSTANCES_PATH, decode_instances
 from marlbend.wire.messages import Snapshot
 from marlbend.wire.rpc import call_snapshot
--- a/marlbend/daemon/state.py
+++ b/marlbend/daemon/state.py
@@ -11,7 +11,7 @@
 from marlbend.members.prober import Letter, Prober
 from marlbend.observe import Metrics
 from marlbend.packets import PacketPath
-from marlbend.platform import Platform
+from marlbend.platform.client import Platform
 from marlbend.wire.control import ControlMessage
 
 __all__ = ('Instance', 'Outbox')
--- /dev/null
+++ b/marlbend/edge/__init__.py
@@ -0,0 +1,1 @@
+"""Run one instance on the platform: sockets, clocks and tasks."""
--- /dev/null
+++ b/marlbend/edge/http.py
@@ -0,0 +1,91 @@
+"""Answer GET requests on a port: readiness, metrics, what is believed."""
+
+import asyncio
+from collections.abc import Callable, Mapping
+from typing import Final, final
+
+import httptools
+
+__all__ = ('Page', 'serve_pages')
+
+_CHUNK_BYTES: Final = 16_384
+_IDLE_SECONDS: Final = 30.0
+_REASONS: Final = {200: 'OK', 404: 'Not Found', 503: 'Service Unavailable'}
+_NOT_FOUND: Final = 404
+_HEAD: Final = (
+    'HTTP/1.1 {status} {reason}\r\nContent-Type: {kind}\r\n'
+    'Content-Length: {size}\r\n\r\n'
+)
+
+# Status, content type and body.
+Page = tuple[int, str, bytes]
+
+
+@final
+class _Collector:
+    """Note the path of each request as it is complete."""
+
+    __slots__ = ('complete', 'path')
+
+    def __init__(self) -> None:
+        self.path = b''
+        self.complete: list[str] = []
+
+    def on_message_begin(self) -> None:
+        self.path = b''
+
+    def on_url(self, url: bytes) -> None:
+        self.path += url
+
+    def on_message_complete(self) -> None:
+        self.complete.append(self.path.decode('ascii', 'replace'))
+
+
+async def serve_pages(
+    address: tuple[str, int],
+    pages: Mapping[str, Callable[[], Page]],
+) -> asyncio.Server:
+    """Serve the pages by path; the connection is kept between requests."""
+
+    async def answer(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        try:
+            await _answer_all(reader, writer, pages)
+        except (OSError, EOFError, httptools.HttpParserError):
+            # The other side ended or spoke no HTTP; nothing depends on it.
+            writer.transport.abort()
+        finally:
+            writer.close()
+
+    return await asyncio.start_server(answer, *address)
+
+
+async def _answer_all(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    pages: Mapping[str, Callable[[], Page]],
+) -> None:
+    collector = _Collector()
+    parser = httptools.HttpRequestParser(collector)
+    while True:
+        async with asyncio.timeout(_IDLE_SECONDS):
+            chunk = await reader.read(_CHUNK_BYTES)
+        if not chunk:
+            return
+        parser.feed_data(chunk)
+        for path in collector.complete:
+            writer.write(_render(path.partition('?')[0], pages))
+        collector.complete.clear()
+        async with asyncio.timeout(_IDLE_SECONDS):
+            await writer.drain()
+
+
+def _render(path: str, pages: Mapping[str, Callable[[], Page]]) -> bytes:
+    page = pages.get(path)
+    status, kind, body = page() if page else (_NOT_FOUND, 'text/plain', b'')
+    head = _HEAD.format(
+        status=status, reason=_REASONS[status], kind=kind, size=len(body)
+    )
+    return head.encode() + body
--- a/marlbend/events.py
+++ b/marlbend/events.py
@@ -25,8 +25,8 @@
     STOPPED = (103, logging.INFO, 'stopped with {flows} flows left')
     CONFIG_IN_FORCE = (200, logging.INFO, 'configuration {version} in force')
     CONFIG_REFUSED = (201, logging.ERROR, 'configuration refused: {error}')
-    PLATFORM_LOST = (300, logging.WARNING, 'platform lost: {error}')
-    PLATFORM_BACK = (301, logging.INFO, 'platform answers again')
+    PLATFORM_LOST = (300, logging.WARNING, 'platform lost for {kind}: {error}')
+    PLATFORM_BACK = (301, logging.INFO, 'platform answers again for {kind}')
     VIEW_CHANGED = (400, logging.INFO, 'view {version}: {members}')
     INSTANCE_GONE = (401, logging.WARNING, 'instance {name} is gone')
     SELF_DOUBTED = (
@@ -43,6 +43,16 @@
     )
     HANDOVER_FAILED = (502, logging.WARNING, 'hand-over failed: {error}')
 
+    DOMAIN_MOVED = (210, logging.INFO, 'failure domain {domain} is {state}')
+    UPSTREAM_REGISTERED = (
+        220,
+        logging.INFO,
+        'upstream {upstream} of {service} in {domain} registered, born {born}',
+    )
+    UPSTREAM_MISSING = (221, logging.INFO, 'upstream {upstream} is missing')
+    UPSTREAM_ENDED = (222, logging.INFO, 'upstream {upstream} ended: {reason}')
+    FLOW_DECIDED = (600, logging.INFO, '{outcome} {flow} to {upstream}, configuration {version}')
+
     def __init__(self, number: int, level: int, text: str) -> None:
         """Name the three parts of an event."""
         self.number = number
--- a/marlbend/main.py
+++ b/marlbend/main.py
@@ -1,58 +1,23 @@
-"""Start the daemon: read the settings, wire the parts, run until SIGTERM.
+"""Start the daemon: read the settings and run the instance they describe.
 
-This is the composition root; every part is made here and handed to the parts
-that use it.  The whole way of a packet is told in `marlbend.packets.path`,
-the life of an instance in `marlbend.daemon.instance`.
+An instance steers either by cookies that both ends of a flow repeat, which is
+the way of the users' platform, or by homes, the way of a plain fabric.  Only
+the way chosen is imported, since start-up time and memory count.
 """
 
 import argparse
 import asyncio
 import logging
-import signal
+import os
 import sys
-import time
-from random import Random
 from typing import Final
 
-import grpc
-
-from marlbend.config import ActiveConfig
-from marlbend.daemon.control import make_outbox, make_receiver
-from marlbend.daemon.following import make_snapshot
-from marlbend.daemon.instance import run_instance
-from marlbend.daemon.state import Instance
-from marlbend.daemon.transfer import take_hand_over
 from marlbend.errors import MarlbendError
-from marlbend.flows import FlowTable, Timeouts
-from marlbend.lifecycle import make_lifecycle
-from marlbend.members import Fleet, Member
-from marlbend.members.prober import Prober
-from marlbend.observe import Metrics, time_decisions
-from marlbend.observe.status import describe_instance
-from marlbend.options import Settings, load_settings
-from marlbend.packets import Outcome, PacketPath, Senders, make_receivers
-from marlbend.packets.receive import (
-    make_sender,
-    open_socket,
-    start_reading,
-    start_reading_senders,
-)
-from marlbend.packets.state import keep_time
-from marlbend.platform import Platform
-from marlbend.wire.messages import (
-    HandOver,
-    HandOverReply,
-    Snapshot,
-    SnapshotRequest,
-    Status,
-    StatusRequest,
-)
-from marlbend.wire.rpc import Handlers, start_server
+from marlbend.options import load_settings
 
-__all__ = ('SLOT_COUNT', 'run')
+__all__ = ('run',)
 
-# Slots of a failure domain; the same on every instance of a deployment.
-SLOT_COUNT: Final = 1024
+SETTINGS_VARIABLE: Final = 'MARLBEND_BOOT'
 
 
 def run() -> None:
@@ -61,11 +26,13 @@
         prog='marlbendd',
         description='Run one instance of the marlbend load balancer.',
     )
+    settings_file = os.environ.get(SETTINGS_VARIABLE)
     parser.add_argument(
         '--settings',
-        required=True,
+        default=settings_file,
+        required=settings_file is None,
         metavar='FILE',
-        help='settings of the instance, in JSON',
+        help=f'settings in JSON; by default the variable {SETTINGS_VARIABLE}',
     )
     arguments = parser.parse_args()
     try:
@@ -75,113 +42,20 @@
         sys.exit(error.exit_code)
 
 
-async def serve(settings: Settings) -> None:
-    """Wire one instance and run it until it is told to stop."""
-    metrics = Metrics()
-    path = _wire_path(settings, metrics)
-    instance = _wire_instance(settings, path, metrics)
-    admin = await _wire_admin(settings, instance)
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, instance.stop_asked.set)
-    instance.lifecycle.trigger('bind')
-    seeds = tuple((peer, settings.ports.admin) for peer in settings.peers)
-    await run_instance(instance, seeds)
-    await admin.stop(grace=None)
-
-
 def _run_with(path: str) -> None:
     settings = load_settings(path)
     logging.basicConfig(
         level=settings.log_level,
         format=f'%(asctime)s {settings.name} %(levelname)s %(message)s',
     )
-    logging.getLogger('transitions').setLevel(logging.WARNING)
-    asyncio.run(serve(settings))
-
-
-def _wire_path(settings: Settings, metrics: Metrics) -> PacketPath:
-    fabric = open_socket(settings.address, settings.ports.fabric)
-    relay = open_socket(settings.address, settings.ports.relay)
-
-    def wake() -> None:
-        keep_time(path, time.monotonic())
-
-    def count_failure() -> None:
-        path.counts[Outcome.DROPPED_SEND] += 1
-
-    path = PacketPath(
-        ActiveConfig(),
-        Fleet(_describe_myself(settings), SLOT_COUNT),
-        FlowTable(settings.limits.flows),
-        Senders(
-            make_sender(fabric, count_failure),
-            make_sender(relay, count_failure),
-        ),
-        settings.limits.half_open,
-    )
-    receive_fabric, receive_relay = make_receivers(path)
-    start_reading(fabric, time_decisions(receive_fabric, metrics), wake)
-    start_reading_senders(relay, receive_relay, wake)
-    return path
-
-
-def _describe_myself(settings: Settings) -> Member:
-    return Member(
-        name=settings.name,
-        address=settings.address,
-        domain=settings.domain,
-        fabric_port=settings.ports.fabric,
-        relay_port=settings.ports.relay,
-        control_port=settings.ports.control,
-        admin_port=settings.ports.admin,
-        incarnation=time.time_ns(),
-    )
-
-
-def _wire_instance(
-    settings: Settings,
-    path: PacketPath,
-    metrics: Metrics,
-) -> Instance:
-    endpoint = open_socket(settings.address, settings.ports.control)
-    instance = Instance(
-        path,
-        Prober(path.fleet, Random()),
-        Platform(settings.platform),
-        make_lifecycle(),
-        make_outbox(make_sender(endpoint, lambda: None), metrics),
-    )
-    limits = settings.limits
-    instance.metrics = metrics
-    instance.stop_seconds = limits.stop_seconds
-    instance.timeouts = Timeouts(
-        int(limits.half_open_seconds),
-        int(limits.idle_seconds),
-        int(limits.closing_seconds),
-    )
-    start_reading_senders(endpoint, make_receiver(instance), lambda: None)
-    return instance
-
-
-async def _wire_admin(
-    settings: Settings,
-    instance: Instance,
-) -> grpc.aio.Server:
-    async def on_status(request: StatusRequest) -> Status:
-        return describe_instance(instance)
+    if settings.cookie is None:
+        from marlbend.daemon.wiring import serve as serve_homes
 
-    async def on_hand_over(message: HandOver) -> HandOverReply:
-        return take_hand_over(instance, message)
+        asyncio.run(serve_homes(settings))
+    else:
+        from marlbend.edge.wiring import serve as serve_cookies
 
-    async def on_snapshot(request: SnapshotRequest) -> Snapshot:
-        return make_snapshot(instance)
-
-    return await start_server(
-        settings.address,
-        settings.ports.admin,
-        Handlers(on_status, on_hand_over, on_snapshot),
-    )
+        asyncio.run(serve_cookies(settings, settings.cookie))
 
 
 if __name__ == '__main__':
--- a/marlbend/options.py
+++ b/marlbend/options.py
@@ -14,13 +14,16 @@
 from marlbend.errorcodes import ErrorKind
 from marlbend.errors import MarlbendError, Problem
 
-__all__ = ('Limits', 'Ports', 'Settings', 'load_settings')
+__all__ = ('CookieSettings', 'Limits', 'Ports', 'Settings', 'load_settings', 'split_endpoint')
 
 HIGHEST_PORT: Final = 65_535
 HIGHEST_FLOWS: Final = 4_000_000
 DAY_SECONDS: Final = 86_400
+HOUR_MILLISECONDS: Final = 3_600_000
 
 Port = Annotated[int, msgspec.Meta(ge=1, le=HIGHEST_PORT)]
+Endpoint = Annotated[str, msgspec.Meta(pattern=r'^\d+(\.\d+){3}:\d+$')]
+Milliseconds = Annotated[int, msgspec.Meta(ge=1, le=HOUR_MILLISECONDS)]
 Name = Annotated[str, msgspec.Meta(pattern='^[a-z][a-z0-9-]{0,62}$')]
 Seconds = Annotated[float, msgspec.Meta(gt=0, le=DAY_SECONDS)]
 LogLevel = Annotated[str, msgspec.Meta(pattern='^(DEBUG|INFO|WARNING|ERROR)$')]
@@ -29,6 +32,7 @@
 _DEFAULT_RELAY_PORT: Final = 6081
 _DEFAULT_CONTROL_PORT: Final = 6082
 _DEFAULT_ADMIN_PORT: Final = 6083
+_DEFAULT_METRICS_PORT: Final = 9096
 
 
 class Ports(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -54,11 +58,31 @@
     stop_seconds: Seconds = 20
 
 
+class CookieSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Say how an instance steers by cookies that both ends repeat.
+
+    Endpoints are `address:port`: `fabric` takes the callers' packets, `ready`
+    answers whether the instance serves, `control` answers other instances and
+    the tool.  `seeds` are control endpoints of other instances, which may be
+    stale.  `metrics_port` serves counters.  `stop_seconds` is how long a
+    graceful shutdown may take.
+    """
+
+    fabric: Endpoint
+    ready: Endpoint
+    control: Endpoint
+    seeds: tuple[Endpoint, ...] = ()
+    metrics_port: Port = _DEFAULT_METRICS_PORT
+    stop_seconds: Seconds = 6
+    heartbeat_milliseconds: Milliseconds = 1200
+
+
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Describe one instance: who it is, where it listens, whom it asks.
 
     `peers` are addresses of other instances to join by when the platform is
-    out.
+    out.  With `cookie` the instance steers by cookies, and `peers`, `ports` and
+    `limits` mean nothing.
     """
 
     name: Name
@@ -68,9 +92,16 @@
     peers: tuple[str, ...] = ()
     ports: Ports = Ports()
     limits: Limits = Limits()
+    cookie: CookieSettings | None = None
     log_level: LogLevel = 'INFO'
 
 
+def split_endpoint(endpoint: str) -> tuple[str, int]:
+    """Return address and port of a checked endpoint."""
+    address, _, port = endpoint.rpartition(':')
+    return address, int(port)
+
+
 def load_settings(path: str) -> Settings:
     """Read a settings file; raise SETTINGS_INVALID with every problem."""
     settings, problems = decode_checked(read_json(path), Settings)
--- a/marlbend/platform/__init__.py
+++ b/marlbend/platform/__init__.py
@@ -1,6 +1,5 @@
-"""Speak to the platform, which keeps what must last."""
+"""Speak the platform's words and decide nothing.
 
-from marlbend.platform.client import Platform, StoredObject, WriteOutcome
-from marlbend.platform.follow import follow_object
-
-__all__ = ('Platform', 'StoredObject', 'WriteOutcome', 'follow_object')
+The name of the package is the users' own; at the top level of the repository
+it would hide the standard library's module of that name.
+"""
--- /dev/null
+++ b/marlbend/steering/routes.py
@@ -0,0 +1,85 @@
+"""Know which services the flows of an address and port may reach.
+
+A publication with a version that is not higher than the one in force is
+ignored, whoever brought it, so nothing ever reverts.  A route remembers the
+services of its earlier versions, because its open flows stay there.
+"""
+
+import zlib
+from typing import final
+
+from marlbend.steering.documents import Publication, RouteSpec, ServiceLimits
+
+__all__ = ('Route', 'RouteTable', 'pick_service', 'publish_routes')
+
+
+@final
+class Route:
+    """Hold a route in force and every service it was ever allowed."""
+
+    __slots__ = ('services', 'spec')
+
+    def __init__(self, spec: RouteSpec, earlier: frozenset[str]) -> None:
+        """Add the services of the route to the earlier ones."""
+        self.spec = spec
+        named = (service for service, _ in spec.weight_by_service)
+        self.services = earlier.union(named)
+
+
+@final
+class RouteTable:
+    """Hold the routes of the publication in force.
+
+    `since` is when it came into force, in monotonic seconds.
+    """
+
+    __slots__ = ('by_endpoint', 'limits_by_service', 'since', 'version')
+
+    def __init__(self) -> None:
+        """Start with no publication: version zero, no route."""
+        self.version = 0
+        self.since: float = 0
+        self.by_endpoint: dict[bytes, Route] = {}
+        self.limits_by_service: dict[str, ServiceLimits] = {}
+
+
+def publish_routes(
+    table: RouteTable,
+    publication: Publication,
+    now: float,
+) -> bool:
+    """Put a publication in force unless it is old; tell if it was put."""
+    if publication.version <= table.version:
+        return False
+    table.by_endpoint = {
+        spec.endpoint: _follow_up(table, spec) for spec in publication.routes
+    }
+    table.limits_by_service = publication.limits_by_service
+    table.version = publication.version
+    table.since = now
+    return True
+
+
+def pick_service(spec: RouteSpec, flow: bytes) -> str:
+    """Return the service of a new flow.
+
+    The choice is a function of the flow alone, so that copies of an opening
+    packet go to one service whichever instance gets them.
+    """
+    shares = spec.weight_by_service
+    if len(shares) == 1:
+        return shares[0][0]
+    total = sum(weight for _, weight in shares)
+    if not total:
+        return ''
+    left = zlib.crc32(flow) % total
+    for service, weight in shares:
+        left -= weight
+        if left < 0:
+            return service
+    return ''
+
+
+def _follow_up(table: RouteTable, spec: RouteSpec) -> Route:
+    earlier = table.by_endpoint.get(spec.endpoint)
+    return Route(spec, earlier.services if earlier else frozenset())
--- /dev/null
+++ b/marlbend/steering/state.py
@@ -0,0 +1,145 @@
+"""Hold what decisions on packets read and write."""
+
+import enum
+from collections.abc import Callable
+from random import Random
+from typing import Final, final
+
+from marlbend.steering.packet import Packet
+from marlbend.steering.routes import RouteTable
+from marlbend.steering.upstreams import Upstream, UpstreamPool
+
+__all__ = ('Flow', 'Outcome', 'Steering', 'Ways')
+
+# The handshake takes two client links and a hop between domains, about 10 ms;
+# until some have been measured the time-out allows for a slow start.
+FIRST_HANDSHAKE_SECONDS: Final = 0.02
+
+
+@enum.unique
+@final
+class Outcome(enum.IntEnum):
+    """Name what can become of a packet; the number is an index."""
+
+    OPENED = 0
+    REOPENED = 1
+    FORWARDED = 2
+    REFUSED_NO_ROUTE = 3
+    REFUSED_NO_UPSTREAM = 4
+    RESET_ENDED = 5
+    RESET_SILENT = 6
+    DROPPED_MALFORMED = 7
+    DROPPED_FORGED = 8
+    DROPPED_UNKNOWN_COOKIE = 9
+    DROPPED_NOT_READY = 10
+    DROPPED_SEND = 11
+
+
+@final
+class Flow:
+    """Hold what packets have shown of one flow.
+
+    Losing it costs nothing but the estimate of load: the cookie says where the
+    packets go.  `tried` holds the upstreams that were sent the opening packet,
+    `opening` the packet itself until the handshake is seen.  Times are
+    monotonic seconds; `sent_at` is when the oldest data without a sign of the
+    upstream was seen, zero if there is none.  A flow is `fresh` until its first
+    data; before that the positions mean nothing.
+    """
+
+    __slots__ = (
+        'acknowledged',
+        'busy',
+        'fresh',
+        'opening',
+        'repeats',
+        'seen_at',
+        'sent_at',
+        'sequence',
+        'tried',
+        'upstream',
+    )
+
+    def __init__(self, upstream: Upstream, now: float) -> None:
+        """Start as an idle flow of an upstream."""
+        self.upstream = upstream
+        self.opening: Packet | None = None
+        self.tried: list[Upstream] = []
+        self.seen_at = now
+        self.sent_at: float = 0
+        self.fresh = True
+        self.sequence = 0
+        self.acknowledged = 0
+        self.repeats = 0
+        self.busy = False
+
+
+@final
+class Ways:
+    """Hold the ways out of the decisions.
+
+    `forward` sends a packet to an upstream, `reset` ends the flow of a packet
+    towards its caller, `remind` calls `review_opening` for a flow after so
+    many seconds, `tell` reports a decision on a packet to the log.
+    """
+
+    __slots__ = ('forward', 'remind', 'reset', 'tell')
+
+    def __init__(
+        self,
+        forward: Callable[[Packet, Upstream], None],
+        reset: Callable[[Packet], None],
+        remind: Callable[[float, bytes], None],
+        tell: Callable[[Outcome, Packet, Upstream | None], None],
+    ) -> None:
+        """Keep the four."""
+        self.forward = forward
+        self.reset = reset
+        self.remind = remind
+        self.tell = tell
+
+
+@final
+class Steering:
+    """Hold the state of the decisions of one instance.
+
+    `domain` is the instance's own failure domain, `domains_out` holds those
+    that the operator took out.  `upstreams_known` turns true with the first
+    complete list.  `handshake` and `deviation` estimate the seconds between an
+    opening packet and the caller's next.
+    """
+
+    __slots__ = (
+        'counts',
+        'deviation',
+        'domain',
+        'domains_out',
+        'flow_by_key',
+        'handshake',
+        'now',
+        'pool',
+        'random',
+        'routes',
+        'upstreams_known',
+        'ways',
+    )
+
+    def __init__(self, domain: str, ways: Ways, random: Random) -> None:
+        """Start without routes, upstreams and flows."""
+        self.domain = domain
+        self.ways = ways
+        self.random = random
+        self.routes = RouteTable()
+        self.pool = UpstreamPool()
+        self.domains_out: set[str] = set()
+        self.flow_by_key: dict[bytes, Flow] = {}
+        self.counts = [0 for _ in Outcome]
+        self.upstreams_known = False
+        self.now: float = 0
+        self.handshake: float = FIRST_HANDSHAKE_SECONDS
+        self.deviation: float = FIRST_HANDSHAKE_SECONDS / 2
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether routes and upstreams are known."""
+        return self.upstreams_known and self.routes.version > 0
--- /dev/null
+++ b/marlbend/steering/upstreams.py
@@ -0,0 +1,167 @@
+"""Know the upstreams, by name and by cookie.
+
+A cookie is a digest of an upstream's name, so every instance derives the same
+one and none needs a table of flows.  Where two upstreams have the same cookie,
+only the first of them by name gets new flows.
+"""
+
+import zlib
+from collections.abc import Iterable, Iterator
+from typing import Final, final
+
+from marlbend.steering.documents import UpstreamEntry
+
+__all__ = ('Upstream', 'UpstreamPool', 'derive_cookie')
+
+# An entry that is missing after an outage of the platform is believed for this
+# long: upstreams that live register again within two seconds.
+MISSING_SECONDS: Final = 2.5
+# A cookie that means an upstream that has ended is remembered for this long;
+# no flow is older than a minute.
+ENDED_SECONDS: Final = 65.0
+
+
+@final
+class Upstream:
+    """Describe one upstream and what its flows have shown of it.
+
+    `entry` is its latest registration.  `cold_until` is monotonic seconds.
+    `missing_since` and `ended_at` are zero while it is registered.
+    `silent_since` is when an opening packet went unanswered with no sign of
+    life after it, zero otherwise; `silences` counts such packets, and
+    `retry_at` is when the next one may test it.  `busy` counts requests in
+    progress and `flows` open flows, both as seen by this instance.
+    """
+
+    __slots__ = (
+        'busy',
+        'cold_until',
+        'cookie',
+        'ended_at',
+        'entry',
+        'flows',
+        'life_at',
+        'missing_since',
+        'name',
+        'retry_at',
+        'shadowed',
+        'silences',
+        'silent_since',
+    )
+
+    def __init__(self, entry: UpstreamEntry, now: float) -> None:
+        """Start as an upstream without flows."""
+        self.name = entry.name
+        self.entry = entry
+        self.cookie = derive_cookie(entry.name)
+        self.cold_until = now + entry.cold_seconds
+        self.shadowed = False
+        self.missing_since: float = 0
+        self.ended_at: float = 0
+        self.silent_since: float = 0
+        self.life_at: float = 0
+        self.retry_at: float = 0
+        self.silences = 0
+        self.busy = 0
+        self.flows = 0
+
+
+@final
+class UpstreamPool:
+    """Keep the upstreams that are registered, and those that have ended."""
+
+    __slots__ = ('by_cookie', 'by_name', 'by_service')
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.by_name: dict[str, Upstream] = {}
+        self.by_cookie: dict[int, Upstream] = {}
+        self.by_service: dict[str, dict[str, Upstream]] = {}
+
+
+def derive_cookie(name: str) -> int:
+    """Return the 32-bit cookie of an upstream, never zero."""
+    return zlib.crc32(name.encode()) or 1
+
+
+def register_upstream(
+    pool: UpstreamPool,
+    entry: UpstreamEntry,
+    now: float,
+) -> bool:
+    """Take a registration; tell if it is a new upstream or a new start."""
+    known = pool.by_name.get(entry.name)
+    if known is None or known.entry.born != entry.born:
+        _forget(pool, known)
+        _add(pool, Upstream(entry, now))
+        return True
+    if known.entry.service != entry.service:
+        pool.by_service[known.entry.service].pop(entry.name, None)
+        pool.by_service.setdefault(entry.service, {})[entry.name] = known
+    known.entry = entry
+    known.missing_since = 0
+    known.ended_at = 0
+    known.cold_until = now + entry.cold_seconds
+    return False
+
+
+def miss_upstream(pool: UpstreamPool, name: str, now: float) -> None:
+    """Note that a registration was gone after an outage of the platform."""
+    known = pool.by_name.get(name)
+    if known is not None and not known.missing_since:
+        known.missing_since = now
+
+
+def end_upstream(pool: UpstreamPool, name: str, now: float) -> bool:
+    """Take an upstream out for good; tell if it was there."""
+    known = pool.by_name.get(name)
+    if known is None or known.ended_at:
+        return False
+    known.ended_at = now
+    pool.by_service[known.entry.service].pop(name, None)
+    return True
+
+
+def expire_upstreams(pool: UpstreamPool, now: float) -> Iterator[Upstream]:
+    """End upstreams that stayed missing, and forget those long ended."""
+    for known in tuple(pool.by_name.values()):
+        if known.ended_at:
+            if now - known.ended_at > ENDED_SECONDS:
+                _forget(pool, known)
+        elif known.missing_since and now - known.missing_since > MISSING_SECONDS:
+            end_upstream(pool, known.name, now)
+            yield known
+
+
+def names_except(pool: UpstreamPool, present: Iterable[str]) -> set[str]:
+    """Return the names of registered upstreams that are not in `present`."""
+    registered = {
+        name for name, known in pool.by_name.items() if not known.ended_at
+    }
+    return registered.difference(present)
+
+
+def _add(pool: UpstreamPool, upstream: Upstream) -> None:
+    rival = pool.by_cookie.get(upstream.cookie)
+    if rival is not None and not rival.ended_at and rival is not upstream:
+        first, second = sorted((rival, upstream), key=_name_of)
+        second.shadowed = True
+        pool.by_cookie[upstream.cookie] = first
+    else:
+        pool.by_cookie[upstream.cookie] = upstream
+    pool.by_name[upstream.name] = upstream
+    same_service = pool.by_service.setdefault(upstream.entry.service, {})
+    same_service[upstream.name] = upstream
+
+
+def _name_of(upstream: Upstream) -> str:
+    return upstream.name
+
+
+def _forget(pool: UpstreamPool, known: Upstream | None) -> None:
+    if known is None:
+        return
+    pool.by_name.pop(known.name, None)
+    if pool.by_cookie.get(known.cookie) is known:
+        pool.by_cookie.pop(known.cookie)
+    pool.by_service[known.entry.service].pop(known.name, None)
--- a/marlbend/test/network.py
+++ b/marlbend/test/network.py
@@ -35,7 +35,7 @@
 from marlbend.packets import PacketPath, Senders, make_receivers
 from marlbend.packets.header import ACK, SYN
 from marlbend.packets.state import keep_time
-from marlbend.platform import Platform
+from marlbend.platform.client import Platform
 from marlbend.wire.messages import HandOver, HandOverReply
 
 __all__ = ('Delivery', 'Network', 'Node', 'make_packet')
--- a/marlbend/test/test_processes.py
+++ b/marlbend/test/test_processes.py
@@ -11,7 +11,7 @@
 from bench.load import Background, finish_background, start_background
 from bench.segments import TUNNEL_PORT
 from bench.stage import Stage, ask_statuses, end_upstreams, open_stage
-from marlbend.packets.receive import open_socket
+from marlbend.sockets import open_socket
 
 RANDOM_DATAGRAMS = 10_000
 BATCH = 200
--- a/marlbend/test/test_programs.py
+++ b/marlbend/test/test_programs.py
@@ -25,8 +25,9 @@
 )
 from marlbend.errorcodes import ErrorKind
 from marlbend.errors import MarlbendError
-from marlbend.packets.receive import open_socket
-from marlbend.platform import Platform, follow_object
+from marlbend.sockets import open_socket
+from marlbend.platform.client import Platform
+from marlbend.platform.follow import follow_object
 
 ROOT = pathlib.Path(__file__).parents[2]
 ADDRESS = '127.9.0.1'
