Let one instance read the platform for all, and share loads and silences

Ruled out: longer watches without a second source, which break bounds when they fall silent; a reader elected in the store, whose loss would hurt. Change: beats over UDP carry members, revisions with ages, and within a domain loads and silences. The first by rank reads, the others fetch from whoever knows more, and read for themselves when their knowledge is too old.

--- a/marlbend/edge/follow.py
+++ b/marlbend/edge/follow.py
@@ -1,4 +1,4 @@
-"""Follow the objects of one kind in the platform's store.
+"""Follow one topic in the platform's store while this instance has to.
 
 Answers the load of a store that is down, slow, partitioned or turns this
 instance away, and of watches that fall silent: each watch has a time limit of
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import time
 from collections.abc import Callable
 from random import Random
 from typing import Final, TypeVar, final
@@ -15,159 +14,177 @@
 import msgspec
 
 from marlbend import messages
+from marlbend.clock import steady_seconds
+from marlbend.edge.beliefs import take_changes, take_list
 from marlbend.errorcodes import ErrorKind
 from marlbend.errors import MarlbendError
 from marlbend.events import Event, emit
-from marlbend.platform.objects import StoredObject, read_changes, read_page
-from marlbend.platform.store import StoreAnswer, StoreConnection
-
-__all__ = ('Feed', 'Takers', 'follow_kind')
-
-_Decoded = TypeVar("_Decoded")
-
-# A watch that fell silent is noticed within their sum, which stays below the
-# 4 s after which the platform expects changes to be in force again.
-WATCH_SECONDS: Final = 3.0
-WATCH_GRACE_SECONDS: Final = 0.8
+from marlbend.http import Answer, Connection
+from marlbend.platform.objects import (
+    StoredObject,
+    list_path,
+    read_changes,
+    read_page,
+    watch_path,
+)
+from marlbend.steering.news import (
+    News,
+    Topic,
+    is_due,
+    note_read,
+)
+from marlbend.steering.state import Steering
+
+__all__ = ('Feed', 'follow_topic')
+
+_Decoded = TypeVar('_Decoded')
+
+# A watch waits for this share of the age at which others read for themselves;
+# what is left is for the answer and the beats that spread it.
+WATCH_SHARE: Final = 0.6
+WATCH_GRACE_SECONDS: Final = 0.5
 LIST_SECONDS: Final = 2.0
 # Changes that follow each other closely are fetched with one call.
 GATHER_SECONDS: Final = 0.3
 FIRST_PAUSE_SECONDS: Final = 0.1
 LONGEST_PAUSE_SECONDS: Final = 1.0
+IDLE_SECONDS: Final = 0.1
 
 _OK: Final = 200
 _GONE: Final = 410
-_MILLISECONDS: Final = 1000
-
-
-@final
-class Takers:
-    """Hold what becomes of objects: `replace` takes a whole list.
-
-    `change` takes one object and whether it was deleted.  Both are told
-    whether the store had been out of reach just before.
-    """
-
-    __slots__ = ('change', 'replace')
-
-    def __init__(
-        self,
-        replace: Callable[[list[StoredObject]], None],
-        change: Callable[[StoredObject, bool], None],
-    ) -> None:
-        """Keep the two."""
-        self.replace = replace
-        self.change = change
 
 
 @final
 class Feed:
-    """Hold how far one kind has been followed.
+    """Hold what following one topic needs.
 
-    `revision` is zero while the kind has to be listed.  `heard_at` is when the
-    store answered last, in monotonic seconds, and `lost` tells that the latest
-    call failed.
+    `position` is the revision to watch from, zero before the first list;
+    `history_gone` asks for a list all the same.  `spread` is called when the
+    platform told of a change.
     """
 
     __slots__ = (
         'connection',
-        'heard_at',
-        'kind',
+        'history_gone',
         'lost',
+        'news',
         'pause',
+        'position',
         'random',
-        'revision',
-        'takers',
+        'spread',
+        'steering',
+        'topic',
     )
 
     def __init__(
         self,
-        kind: str,
-        connection: StoreConnection,
-        takers: Takers,
-        random: Random,
+        topic: Topic,
+        connection: Connection,
+        steering: Steering,
+        news: News,
+        spread: Callable[[], None],
     ) -> None:
         """Start before the first list."""
-        self.kind = kind
+        self.topic = topic
         self.connection = connection
-        self.takers = takers
-        self.random = random
-        self.revision = 0
-        self.heard_at: float = 0
+        self.steering = steering
+        self.news = news
+        self.spread = spread
+        self.random: Random = steering.random
+        self.position = 0
+        self.history_gone = False
         self.lost = False
         self.pause: float = 0
 
 
-async def follow_kind(feed: Feed) -> None:
-    """Hand every object of the kind to the takers, until cancelled."""
+async def follow_topic(feed: Feed) -> None:
+    """Read the topic whenever this instance has to, until cancelled."""
     while True:
+        if not is_due(feed.news, feed.topic, steady_seconds()):
+            await asyncio.sleep(IDLE_SECONDS)
+            continue
         try:
             await _step(feed)
         except MarlbendError as error:
             _note_loss(feed, error)
-            pause = feed.pause * feed.random.uniform(0.5, 1)
-            await asyncio.sleep(pause)
+            await asyncio.sleep(feed.pause * feed.random.uniform(0.5, 1))
 
 
 async def _step(feed: Feed) -> None:
-    if not feed.revision:
+    known = feed.news.revision_by_topic[feed.topic]
+    # Another instance may have told of later changes than were read here.
+    feed.position = max(feed.position, known)
+    if feed.history_gone or not feed.position:
         await _list_all(feed)
-        return
-    if await _watch(feed):
+    elif await _watch(feed):
         await asyncio.sleep(GATHER_SECONDS)
 
 
 async def _list_all(feed: Feed) -> None:
     found: list[StoredObject] = []
-    path = first = f'/api/objects/{feed.kind}'
     revision = 0
+    after = ''
     more = True
     while more:
+        path = list_path(feed.topic, after)
         answer = await _call(feed, path, LIST_SECONDS)
         objects, at, more = _decode(answer, read_page)
         found.extend(objects)
         # Changes since the first page are watched from its revision.
         revision = revision or at
-        if objects:
-            path = f'{first}?after={objects[-1].meta.name}'
-    feed.takers.replace(found)
-    feed.revision = revision
+        after = objects[-1].meta.name if objects else ''
+    known = feed.news.revision_by_topic[feed.topic]
+    feed.history_gone = False
+    if revision >= known:
+        take_list(feed.steering, feed.topic, found)
+        feed.position = revision
+        _note_read(feed, revision)
 
 
 async def _watch(feed: Feed) -> bool:
     """Wait for changes; tell if there were any."""
-    wait = int(WATCH_SECONDS * _MILLISECONDS)
-    path = f'/api/objects/{feed.kind}?watch={feed.revision}&wait_ms={wait}'
-    answer = await _call(feed, path, WATCH_SECONDS + WATCH_GRACE_SECONDS)
+    wait = feed.news.patience_by_topic[feed.topic] * WATCH_SHARE
+    path = watch_path(feed.topic, feed.position, wait)
+    answer = await _call(feed, path, wait + WATCH_GRACE_SECONDS)
     if answer.status == _GONE:
-        feed.revision = 0
+        feed.history_gone = True
         return False
     changes, revision = _decode(answer, read_changes)
-    for stored, deleted in changes:
-        feed.takers.change(stored, deleted)
-    feed.revision = max(feed.revision, revision)
+    known = feed.news.revision_by_topic[feed.topic]
+    feed.position = max(feed.position, revision)
+    if changes and revision > known:
+        take_changes(feed.steering, feed.topic, changes)
+        _note_read(feed, revision)
+    else:
+        # What another instance told meanwhile is as new as the answer.
+        _note_read(feed, known)
     return bool(changes)
 
 
-async def _call(feed: Feed, path: str, seconds: float) -> StoreAnswer:
+def _note_read(feed: Feed, revision: int) -> None:
+    news = feed.news
+    changed = revision > news.revision_by_topic[feed.topic]
+    note_read(news, feed.topic, revision, steady_seconds())
+    news.myself.fit = True
+    if feed.lost:
+        emit(Event.PLATFORM_BACK, kind=feed.topic.name.lower())
+    feed.lost = False
+    feed.pause = 0
+    if changed:
+        feed.spread()
+
+
+async def _call(feed: Feed, path: str, seconds: float) -> Answer:
     answer = await feed.connection.call('GET', path, seconds)
     if answer.status not in {_OK, _GONE}:
         raise MarlbendError(
             ErrorKind.PLATFORM_REFUSED,
             messages.PLATFORM_REFUSED.format(status=answer.status, url=path),
         )
-    feed.heard_at = time.monotonic()
-    if feed.lost:
-        emit(Event.PLATFORM_BACK, kind=feed.kind)
-    feed.lost = False
-    feed.pause = 0
     return answer
 
 
-def _decode(
-    answer: StoreAnswer,
-    read: Callable[[bytes], _Decoded],
-) -> _Decoded:
+def _decode(answer: Answer, read: Callable[[bytes], _Decoded]) -> _Decoded:
     try:
         return read(answer.body)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
@@ -179,7 +196,9 @@
 
 def _note_loss(feed: Feed, error: MarlbendError) -> None:
     if not feed.lost:
-        emit(Event.PLATFORM_LOST, kind=feed.kind, error=error)
+        kind = feed.topic.name.lower()
+        emit(Event.PLATFORM_LOST, kind=kind, error=error)
     feed.lost = True
+    feed.news.myself.fit = False
     longer = max(feed.pause * 2, FIRST_PAUSE_SECONDS)
     feed.pause = min(longer, LONGEST_PAUSE_SECONDS)
--- /dev/null
+++ b/marlbend/edge/peers.py
@@ -0,0 +1,236 @@
+"""Exchange beats with other instances, and fetch what they know better.
+
+One datagram socket on the control endpoint carries the beats; the same port
+over TCP serves what an instance knows of each topic.
+"""
+
+import asyncio
+from collections.abc import Callable, Iterator
+from typing import Final, final
+
+import msgspec
+
+from marlbend.clock import steady_seconds
+from marlbend.edge.beliefs import decode_whole, encode_whole, take_whole
+from marlbend.errors import MarlbendError
+from marlbend.events import Event, emit
+from marlbend.http import Connection, Page
+from marlbend.steering.evidence import note_life
+from marlbend.steering.news import (
+    News,
+    Topic,
+    choose_targets,
+    make_news,
+    merge_news,
+    note_read,
+)
+from marlbend.steering.state import Steering
+from marlbend.steering.upstreams import Told, Upstream
+from marlbend.wire.beats import (
+    Beat,
+    UpstreamNews,
+    decode_beat,
+    encode_beat,
+)
+
+__all__ = ('Peers', 'make_pages', 'receive_beat', 'send_beats', 'send_farewell', 'spread_news')
+
+Address = tuple[str, int]
+
+# Loads change with every request, which takes some ten milliseconds; four
+# beats a second cost less than 1% of a quarter of a core.
+BEAT_SECONDS: Final = 0.25
+FETCH_SECONDS: Final = 1.0
+# Silence of an upstream is told for this long.
+SILENCE_SECONDS: Final = 3.0
+_MILLISECONDS: Final = 1000
+_OK: Final = 200
+_PATH: Final = '/beliefs/{topic}'
+
+
+class _Told(msgspec.Struct, array_like=True, frozen=True):
+    """Carry all that an instance knows of a topic, and how old it is."""
+
+    revision: int
+    age: int
+    whole: bytes
+
+
+@final
+class Peers:
+    """Hold the way to other instances.
+
+    `fetching` holds the topics that are being fetched now, `tasks` the tasks
+    that do it.
+    """
+
+    __slots__ = ('fetching', 'news', 'seeds', 'send', 'steering', 'tasks')
+
+    def __init__(
+        self,
+        news: News,
+        steering: Steering,
+        seeds: tuple[Address, ...],
+        send: Callable[[bytes, Address], None],
+    ) -> None:
+        """Start without having heard of anybody."""
+        self.news = news
+        self.steering = steering
+        self.seeds = seeds
+        self.send = send
+        self.fetching: set[Topic] = set()
+        self.tasks: set[asyncio.Task[None]] = set()
+
+
+async def send_beats(peers: Peers) -> None:
+    """Send beats to a few instances, and ask the seeds until one answers."""
+    while True:
+        if not peers.news.member_by_name:
+            for seed in peers.seeds:
+                if seed != peers.news.myself.endpoint:
+                    _send(peers, seed, near=False, answer=True)
+        spread_news(peers)
+        await asyncio.sleep(BEAT_SECONDS)
+
+
+def spread_news(peers: Peers) -> None:
+    """Send one beat to each of a few instances."""
+    news = peers.news
+    now = steady_seconds()
+    for member in choose_targets(news, peers.steering.random, now):
+        near = member.domain == news.myself.domain
+        _send(peers, member.endpoint, near=near)
+
+
+def send_farewell(peers: Peers) -> None:
+    """Tell every instance known that this one stops."""
+    members, _ = make_news(
+        peers.news, peers.steering.random, steady_seconds()
+    )
+    farewell = encode_beat(Beat(members[:1], leaving=True))
+    for member in peers.news.member_by_name.values():
+        peers.send(farewell, member.endpoint)
+
+
+def receive_beat(peers: Peers, datagram: bytes, sender: Address) -> None:
+    """Take a beat in and fetch what its sender knows better."""
+    beat = decode_beat(datagram)
+    if beat is None or beat.members[0].endpoint != sender:
+        return
+    now = steady_seconds()
+    told = beat.members[0]
+    for topic in merge_news(peers.news, beat, now):
+        if topic not in peers.fetching:
+            peers.fetching.add(topic)
+            task = asyncio.create_task(_fetch(peers, topic, sender))
+            peers.tasks.add(task)
+            task.add_done_callback(peers.tasks.discard)
+    if told.domain == peers.news.myself.domain:
+        _take_upstream_news(peers.steering, told.name, beat, now)
+    if beat.answer:
+        _send(peers, sender, near=told.domain == peers.news.myself.domain)
+
+
+def make_pages(peers: Peers) -> dict[str, Callable[[], Page]]:
+    """Return the pages that serve what this instance knows."""
+
+    def page_of(topic: Topic) -> Callable[[], Page]:
+        def answer() -> Page:
+            news = peers.news
+            age = steady_seconds() - news.confirmed_by_topic[topic]
+            if not news.revision_by_topic[topic]:
+                return 503, 'text/plain', b''
+            told = _Told(
+                news.revision_by_topic[topic],
+                int(age * _MILLISECONDS),
+                encode_whole(peers.steering, topic),
+            )
+            return _OK, 'application/msgpack', msgspec.msgpack.encode(told)
+
+        return answer
+
+    return {_PATH.format(topic=int(topic)): page_of(topic) for topic in Topic}
+
+
+async def _fetch(peers: Peers, topic: Topic, sender: Address) -> None:
+    connection = Connection(sender)
+    try:
+        path = _PATH.format(topic=int(topic))
+        answer = await connection.call('GET', path, FETCH_SECONDS)
+        if answer.status == _OK:
+            _take_answer(peers, topic, answer.body)
+    except (MarlbendError, msgspec.DecodeError) as error:
+        emit(Event.FETCH_FAILED, peer=sender[0], error=error)
+    finally:
+        connection.close()
+        peers.fetching.discard(topic)
+
+
+def _take_answer(peers: Peers, topic: Topic, body: bytes) -> None:
+    told = msgspec.msgpack.decode(body, type=_Told)
+    if told.revision <= peers.news.revision_by_topic[topic]:
+        return
+    take_whole(peers.steering, topic, decode_whole(topic, told.whole))
+    confirmed = steady_seconds() - told.age / _MILLISECONDS
+    note_read(peers.news, topic, told.revision, confirmed)
+    spread_news(peers)
+
+
+def _send(
+    peers: Peers,
+    target: Address,
+    *,
+    near: bool,
+    answer: bool = False,
+) -> None:
+    now = steady_seconds()
+    members, topics = make_news(peers.news, peers.steering.random, now)
+    upstreams = tuple(_tell_upstreams(peers.steering, now)) if near else ()
+    beat = Beat(members, topics, upstreams, answer=answer)
+    peers.send(encode_beat(beat), target)
+
+
+def _tell_upstreams(steering: Steering, now: float) -> Iterator[UpstreamNews]:
+    for known in steering.pool.by_name.values():
+        recent = now - known.silent_since < SILENCE_SECONDS
+        if known.busy or recent or known.told_by_member:
+            silences = known.silences if recent else 0
+            yield UpstreamNews(
+                known.cookie,
+                known.busy,
+                silences,
+                _age(known.silent_since, now) if silences else -1,
+                _age(known.life_at, now),
+            )
+
+
+def _take_upstream_news(
+    steering: Steering,
+    member: str,
+    beat: Beat,
+    now: float,
+) -> None:
+    for news in beat.upstreams:
+        upstream = steering.pool.by_cookie.get(news.cookie)
+        if upstream is not None:
+            _take_one(upstream, member, news, now)
+
+
+def _take_one(
+    upstream: Upstream,
+    member: str,
+    news: UpstreamNews,
+    now: float,
+) -> None:
+    told = Told(now, news.busy)
+    if news.silences:
+        told.silences = news.silences
+        told.silent_since = now - news.silent_age / _MILLISECONDS
+    upstream.told_by_member[member] = told
+    if news.life_age >= 0:
+        note_life(upstream, now - news.life_age / _MILLISECONDS)
+
+
+def _age(moment: float, now: float) -> int:
+    """Return an age in milliseconds, -1 for what never happened."""
+    return int((now - moment) * _MILLISECONDS) if moment else -1
--- a/marlbend/edge/wiring.py
+++ b/marlbend/edge/wiring.py
@@ -6,30 +6,33 @@
 
 import asyncio
 import signal
-import time
 from collections.abc import Iterator
 from random import Random
 from typing import Final
 
 from marlbend import VERSION
-from marlbend.edge.follow import Feed, follow_kind
-from marlbend.edge.http import Page, serve_pages
-from marlbend.edge.takers import (
-    make_config_takers,
-    make_domain_takers,
-    make_upstream_takers,
+from marlbend.clock import steady_seconds
+from marlbend.edge.follow import Feed, follow_topic
+from marlbend.edge.peers import (
+    Peers,
+    make_pages,
+    receive_beat,
+    send_beats,
+    send_farewell,
+    spread_news,
 )
 from marlbend.events import Event, emit
+from marlbend.http import Connection, Page, serve_pages
 from marlbend.options import CookieSettings, Settings, split_endpoint
-from marlbend.sockets import make_sender, open_socket, start_reading
 from marlbend.platform.header import address_packet, make_reset, read_packet
-from marlbend.platform.objects import (
-    CONFIG_KIND,
-    DOMAINS_OUT_KIND,
-    UPSTREAMS_KIND,
-    host_number,
+from marlbend.platform.objects import host_number
+from marlbend.sockets import (
+    make_sender,
+    open_socket,
+    start_reading,
+    start_reading_senders,
 )
-from marlbend.platform.store import StoreConnection
+from marlbend.steering.news import Member, News, Topic
 from marlbend.steering.packet import Packet
 from marlbend.steering.state import Outcome, Steering, Ways
 from marlbend.steering.steer import (
@@ -38,18 +41,24 @@
     sweep_flows,
 )
 from marlbend.steering.upstreams import Upstream, expire_upstreams
+from marlbend.wire.beats import MemberNews
 
 __all__ = ('serve',)
 
 SWEEP_SECONDS: Final = 0.5
 # Routers notice within three polls of half a second that an instance leaves.
 LEAVE_SECONDS: Final = 2.5
+# An instance reads for itself at this share of the time in which a change has
+# to be in force; what is left is for the call.
+PATIENCE_SHARE: Final = 0.75
+_MILLISECONDS: Final = 1000
 
 
 async def serve(settings: Settings, cookie: CookieSettings) -> None:
     """Run until a graceful shutdown has been asked for and is complete."""
     emit(Event.STARTED, name=settings.name, version=VERSION)
     steering = _wire_steering(settings, cookie)
+    peers = _wire_peers(settings, cookie, steering)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -59,34 +68,73 @@
         serving = steering.ready and not stop.is_set()
         return (200 if serving else 503), 'text/plain', b''
 
-    server = await serve_pages(
-        split_endpoint(cookie.ready), {'/api/ready': ready}
-    )
+    servers = [
+        await serve_pages(
+            split_endpoint(cookie.ready), {'/api/ready': ready}
+        ),
+        await serve_pages(split_endpoint(cookie.control), make_pages(peers)),
+    ]
     async with asyncio.TaskGroup() as group:
-        feeds = {feed.kind: feed for feed in _make_feeds(settings, steering)}
         tasks = [
-            group.create_task(follow_kind(feed)) for feed in feeds.values()
+            group.create_task(follow_topic(feed))
+            for feed in _make_feeds(settings, peers)
         ]
-        tasks.append(group.create_task(_sweep(steering, feeds[UPSTREAMS_KIND])))
+        tasks.append(group.create_task(send_beats(peers)))
+        tasks.append(group.create_task(_sweep(steering, peers.news)))
         await stop.wait()
         emit(Event.STOP_ASKED)
+        peers.news.myself.fit = False
         await asyncio.sleep(min(LEAVE_SECONDS, cookie.stop_seconds / 2))
-        for task in tasks:
+        for task in (*tasks, *peers.tasks):
             task.cancel()
-    server.close()
+    send_farewell(peers)
+    for server in servers:
+        server.close()
     emit(Event.STOPPED, flows=len(steering.flow_by_key))
 
 
-def _make_feeds(settings: Settings, steering: Steering) -> Iterator[Feed]:
-    takers_by_kind = {
-        CONFIG_KIND: make_config_takers(steering),
-        UPSTREAMS_KIND: make_upstream_takers(steering),
-        DOMAINS_OUT_KIND: make_domain_takers(steering),
-    }
+def _make_feeds(settings: Settings, peers: Peers) -> Iterator[Feed]:
     address = split_endpoint(settings.platform.partition('://')[2])
-    for kind, takers in takers_by_kind.items():
-        connection = StoreConnection(address)
-        yield Feed(kind, connection, takers, steering.random)
+
+    def spread() -> None:
+        spread_news(peers)
+
+    for topic in Topic:
+        connection = Connection(address)
+        yield Feed(topic, connection, peers.steering, peers.news, spread)
+
+
+def _wire_peers(
+    settings: Settings,
+    cookie: CookieSettings,
+    steering: Steering,
+) -> Peers:
+    endpoint = split_endpoint(cookie.control)
+    now = steady_seconds()
+    myself = Member(
+        MemberNews(settings.name, endpoint, settings.domain, 0, fit=True), now
+    )
+    in_force = PATIENCE_SHARE * cookie.apply_milliseconds / _MILLISECONDS
+    evacuated = PATIENCE_SHARE * cookie.domain_out_milliseconds / _MILLISECONDS
+    patience = {
+        Topic.CONFIGURATION: in_force,
+        Topic.UPSTREAMS: in_force,
+        Topic.DOMAINS_OUT: evacuated,
+    }
+    control = open_socket(*endpoint)
+    peers = Peers(
+        News(myself, patience),
+        steering,
+        tuple(map(split_endpoint, cookie.seeds)),
+        # A beat that cannot be sent is repeated a quarter of a second later.
+        make_sender(control, lambda: None),
+    )
+
+    def receive(datagram: bytes, sender: tuple[str, int]) -> None:
+        receive_beat(peers, datagram, sender)
+
+    start_reading_senders(control, receive, lambda: None)
+    return peers
 
 
 def _wire_steering(settings: Settings, cookie: CookieSettings) -> Steering:
@@ -110,11 +158,11 @@
             send(datagram, (caller, port))
 
     def remind(seconds: float, key: bytes) -> None:
-        due = time.monotonic() + seconds
+        due = steady_seconds() + seconds
         loop.call_later(seconds, review, key, due)
 
     def review(key: bytes, due: float) -> None:
-        steering.now = time.monotonic()
+        steering.now = steady_seconds()
         review_opening(steering, key, due)
 
     def tell(
@@ -137,7 +185,7 @@
             receive(packet)
 
     def wake() -> None:
-        steering.now = time.monotonic()
+        steering.now = steady_seconds()
 
     start_reading(fabric, receive_datagram, wake)
     return steering
@@ -158,11 +206,11 @@
     )
 
 
-async def _sweep(steering: Steering, upstreams: Feed) -> None:
+async def _sweep(steering: Steering, news: News) -> None:
     while True:
         await asyncio.sleep(SWEEP_SECONDS)
-        steering.now = time.monotonic()
-        steering.heard_at = upstreams.heard_at
+        steering.now = steady_seconds()
+        steering.heard_at = news.confirmed_by_topic[Topic.UPSTREAMS]
         sweep_flows(steering)
         for ended in expire_upstreams(steering.pool, steering.now):
             emit(Event.UPSTREAM_ENDED, upstream=ended.name, reason='missing')
--- a/marlbend/errorcodes.py
+++ b/marlbend/errorcodes.py
@@ -25,6 +25,7 @@
     SERVICE_INVALID = 'service-invalid'
     UPSTREAM_UNKNOWN = 'upstream-unknown'
     PLATFORM_UNREACHABLE = 'platform-unreachable'
+    SERVER_UNREACHABLE = 'server-unreachable'
     PLATFORM_REFUSED = 'platform-refused'
     PUBLISH_CONFLICT = 'publish-conflict'
     ADDRESS_IN_USE = 'address-in-use'
@@ -56,6 +57,7 @@
         ),
         ErrorKind.UPSTREAM_UNKNOWN: Answer(14, 'Name an upstream in force.'),
         ErrorKind.PLATFORM_UNREACHABLE: Answer(20, 'Try again later.'),
+        ErrorKind.SERVER_UNREACHABLE: Answer(23, 'Try again later.'),
         ErrorKind.PLATFORM_REFUSED: Answer(21, 'Report it: a defect.'),
         ErrorKind.PUBLISH_CONFLICT: Answer(22, 'Read, merge by hand, publish.'),
         ErrorKind.ADDRESS_IN_USE: Answer(30, 'Free the port or change it.'),
--- a/marlbend/events.py
+++ b/marlbend/events.py
@@ -51,6 +51,7 @@
     )
     UPSTREAM_MISSING = (221, logging.INFO, 'upstream {upstream} is missing')
     UPSTREAM_ENDED = (222, logging.INFO, 'upstream {upstream} ended: {reason}')
+    FETCH_FAILED = (302, logging.INFO, 'nothing learned from {peer}: {error}')
     FLOW_DECIDED = (600, logging.INFO, '{outcome} {flow} to {upstream}, configuration {version}')
 
     def __init__(self, number: int, level: int, text: str) -> None:
--- a/marlbend/platform/store.py
+++ b/marlbend/http/client.py
@@ -1,4 +1,4 @@
-"""Call the platform's object store over HTTP.
+"""Call the platform or another instance over HTTP.
 
 A connection carries one call at a time and is kept for the next.  After a
 time-out or a broken answer it is closed, since nothing further comes on it.
@@ -14,7 +14,7 @@
 from marlbend.errorcodes import ErrorKind
 from marlbend.errors import MarlbendError
 
-__all__ = ('StoreAnswer', 'StoreConnection')
+__all__ = ('Answer', 'Connection')
 
 CONNECT_SECONDS: Final = 1.0
 _CHUNK_BYTES: Final = 65_536
@@ -24,7 +24,7 @@
 )
 
 
-class StoreAnswer(msgspec.Struct, frozen=True):
+class Answer(msgspec.Struct, frozen=True):
     """Hold the status and body of an answer."""
 
     status: int
@@ -49,8 +49,8 @@
 
 
 @final
-class StoreConnection:
-    """Keep one connection to the store, opened when first needed."""
+class Connection:
+    """Keep one connection to a server, opened when first needed."""
 
     __slots__ = ('_address', '_reader', '_writer')
 
@@ -66,8 +66,8 @@
         path: str,
         seconds: float,
         body: bytes = b'',
-    ) -> StoreAnswer:
-        """Return the answer; raise PLATFORM_UNREACHABLE if none comes."""
+    ) -> Answer:
+        """Return the answer; raise SERVER_UNREACHABLE if none comes."""
         try:
             async with asyncio.timeout(seconds):
                 return await self._exchange(method, path, body)
@@ -90,7 +90,7 @@
         method: str,
         path: str,
         body: bytes,
-    ) -> StoreAnswer:
+    ) -> Answer:
         reader, writer = await self._connect()
         head = _HEAD.format(
             method=method, path=path, host=self._address[0], size=len(body)
@@ -105,7 +105,7 @@
             parser.feed_data(chunk)
         if not parser.should_keep_alive():
             self.close()
-        return StoreAnswer(parser.get_status_code(), bytes(collector.body))
+        return Answer(parser.get_status_code(), bytes(collector.body))
 
     async def _connect(
         self,
@@ -122,6 +122,6 @@
     reason = str(error) or type(error).__name__
     url = f'{address[0]}:{address[1]}'
     return MarlbendError(
-        ErrorKind.PLATFORM_UNREACHABLE,
-        messages.PLATFORM_UNREACHABLE.format(url=url, reason=reason),
+        ErrorKind.SERVER_UNREACHABLE,
+        messages.SERVER_UNREACHABLE.format(url=url, reason=reason),
     )
--- a/marlbend/edge/http.py
+++ b/marlbend/http/server.py
@@ -56,6 +56,9 @@
         except (OSError, EOFError, httptools.HttpParserError):
             # The other side ended or spoke no HTTP; nothing depends on it.
             writer.transport.abort()
+        except asyncio.CancelledError:
+            # The process stops; the library logs a traceback otherwise.
+            return
         finally:
             writer.close()
 
--- a/marlbend/messages.py
+++ b/marlbend/messages.py
@@ -17,6 +17,7 @@
 SERVICES_WRONG: Final = 'service files are wrong'
 NO_SERVICE_FILES: Final = 'no service files were given'
 PLATFORM_UNREACHABLE: Final = 'no answer from the platform at {url}: {reason}'
+SERVER_UNREACHABLE: Final = 'no answer from {url}: {reason}'
 PLATFORM_REFUSED: Final = (
     'unexpected answer {status} from the platform at {url}'
 )
--- a/marlbend/options.py
+++ b/marlbend/options.py
@@ -65,7 +65,9 @@
     answers whether the instance serves, `control` answers other instances and
     the tool.  `seeds` are control endpoints of other instances, which may be
     stale.  `metrics_port` serves counters.  `stop_seconds` is how long a
-    graceful shutdown may take.
+    graceful shutdown may take, `apply_milliseconds` within what time changes of
+    routes and upstreams are in force, `domain_out_milliseconds` within what
+    time a failure domain is out.
     """
 
     fabric: Endpoint
@@ -74,7 +76,8 @@
     seeds: tuple[Endpoint, ...] = ()
     metrics_port: Port = _DEFAULT_METRICS_PORT
     stop_seconds: Seconds = 6
-    heartbeat_milliseconds: Milliseconds = 1200
+    apply_milliseconds: Milliseconds = 3000
+    domain_out_milliseconds: Milliseconds = 5000
 
 
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/marlbend/platform/objects.py
+++ b/marlbend/platform/objects.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from marlbend.checking import pack_address
+from marlbend.steering.news import Topic
 from marlbend.steering.documents import (
     Publication,
     RouteSpec,
@@ -19,23 +20,27 @@
 )
 
 __all__ = (
-    'CONFIG_KIND',
     'CONFIG_NAME',
-    'DOMAINS_OUT_KIND',
-    'UPSTREAMS_KIND',
+    'KIND_BY_TOPIC',
     'Change',
     'StoredObject',
+    'host_number',
+    'list_path',
     'read_changes',
     'read_page',
     'read_publication',
     'read_upstream',
+    'watch_path',
 )
 
-UPSTREAMS_KIND: Final = 'servers'
-CONFIG_KIND: Final = 'config'
+# Upstreams register under `servers`; `evacuations` holds an object for each
+# failure domain that the operator has taken out of service.
+KIND_BY_TOPIC: Final = {
+    Topic.CONFIGURATION: 'config',
+    Topic.UPSTREAMS: 'servers',
+    Topic.DOMAINS_OUT: 'evacuations',
+}
 CONFIG_NAME: Final = 'main'
-# One object a failure domain that the operator has taken out of service.
-DOMAINS_OUT_KIND: Final = 'evacuations'
 
 _READY: Final = 'ready'
 _DRAINING: Final = 'draining'
@@ -121,6 +126,19 @@
     born: int = 0
 
 
+def list_path(topic: Topic, after: str) -> str:
+    """Return the path of the next page of a topic's objects."""
+    path = f'/api/objects/{KIND_BY_TOPIC[topic]}'
+    return f'{path}?after={after}' if after else path
+
+
+def watch_path(topic: Topic, revision: int, seconds: float) -> str:
+    """Return the path on which changes after a revision are waited for."""
+    kind = KIND_BY_TOPIC[topic]
+    wait = int(seconds * _MILLISECONDS)
+    return f'/api/objects/{kind}?watch={revision}&wait_ms={wait}'
+
+
 def read_page(
     body: bytes,
 ) -> tuple[list[StoredObject], int, bool]:
--- a/marlbend/steering/choice.py
+++ b/marlbend/steering/choice.py
@@ -8,14 +8,14 @@
 from collections.abc import Iterator
 from typing import Final
 
-from marlbend.steering.evidence import is_suspected
+from marlbend.steering.evidence import count_busy, is_suspected
 from marlbend.steering.state import Steering
 from marlbend.steering.upstreams import Upstream
 
 __all__ = ('choose_upstream',)
 
 # Requests in progress for each slot that the own domain may be busier.
-REMOTE_MARGIN: Final = 0.5
+REMOTE_MARGIN: Final = 1.0
 # A cold upstream takes about 1.6 times as long for each request.
 COLD_FACTOR: Final = 2.0
 # What an open flow without a request adds to the load, in requests: callers
@@ -57,7 +57,8 @@
 
 def _load(steering: Steering, upstream: Upstream) -> float:
     idle = max(upstream.flows - upstream.busy, 0)
-    load = (upstream.busy + IDLE_FLOW_LOAD * idle) / upstream.entry.slots
+    busy = count_busy(upstream, steering.now)
+    load = (busy + IDLE_FLOW_LOAD * idle) / upstream.entry.slots
     if upstream.cold_until > steering.now:
         load = (load + 1 / upstream.entry.slots) * COLD_FACTOR
     if upstream.entry.domain != steering.domain:
--- a/marlbend/steering/evidence.py
+++ b/marlbend/steering/evidence.py
@@ -5,12 +5,14 @@
 that a caller does not, or repeats itself, which suggests that it does not.
 """
 
+from collections.abc import Iterator
 from typing import Final
 
 from marlbend.steering.state import Steering
-from marlbend.steering.upstreams import Upstream
+from marlbend.steering.upstreams import Told, Upstream
 
 __all__ = (
+    'count_busy',
     'handshake_timeout',
     'is_suspected',
     'measure_handshake',
@@ -33,6 +35,10 @@
 # for as long as two repeats of a caller take.
 DEAD_SILENCES: Final = 3
 DEAD_SECONDS: Final = 0.4
+# Beats come four times a second; one may be lost.
+TOLD_SECONDS: Final = 1.0
+# One lost datagram of another instance is no reason to avoid an upstream.
+TOLD_SILENCES: Final = 2
 
 
 def handshake_timeout(steering: Steering) -> float:
@@ -50,10 +56,11 @@
 
 def note_life(upstream: Upstream, now: float) -> None:
     """Note a sign of life, which clears every suspicion."""
-    upstream.life_at = now
-    upstream.silences = 0
-    upstream.silent_since = 0
-    upstream.retry_at = 0
+    upstream.life_at = max(upstream.life_at, now)
+    if upstream.silences and upstream.life_at > upstream.silent_since:
+        upstream.silences = 0
+        upstream.silent_since = 0
+        upstream.retry_at = 0
 
 
 def note_silence(upstream: Upstream, now: float, since: float) -> None:
@@ -69,20 +76,51 @@
     upstream.retry_at = now + min(pause, LONGEST_PAUSE_SECONDS)
 
 
-def is_suspected(upstream: Upstream, now: float) -> bool:
-    """Tell whether an upstream should get no new flow for now."""
-    return now < upstream.retry_at or bool(upstream.missing_since)
-
-
 def note_test(upstream: Upstream, now: float) -> None:
     """Let one new flow test a silent upstream, and hold back the next."""
     if upstream.silences:
         upstream.retry_at = now + FIRST_PAUSE_SECONDS
 
 
+def is_suspected(upstream: Upstream, now: float) -> bool:
+    """Tell whether an upstream should get no new flow for now."""
+    if now < upstream.retry_at or upstream.missing_since:
+        return True
+    return any(
+        told.silences >= TOLD_SILENCES
+        for told in _believe(upstream, now)
+    )
+
+
 def seems_dead(upstream: Upstream, now: float) -> bool:
-    """Tell whether there is reason enough to give up open flows."""
-    return (
-        upstream.silences >= DEAD_SILENCES
-        and now - upstream.silent_since > DEAD_SECONDS
+    """Tell whether there is reason enough to give up open flows.
+
+    Only instances of one failure domain count, since others reach the
+    upstream on other paths.
+    """
+    told = list(_believe(upstream, now))
+    silences = upstream.silences + sum(each.silences for each in told)
+    if silences < DEAD_SILENCES:
+        return False
+    starts = [each.silent_since for each in told if each.silences]
+    if upstream.silences:
+        starts.append(upstream.silent_since)
+    return now - min(starts) > DEAD_SECONDS
+
+
+def count_busy(upstream: Upstream, now: float) -> int:
+    """Return the requests in progress that the own domain sees."""
+    others = (
+        told.busy
+        for told in upstream.told_by_member.values()
+        if now - told.at < TOLD_SECONDS
     )
+    return upstream.busy + sum(others)
+
+
+def _believe(upstream: Upstream, now: float) -> Iterator[Told]:
+    """Yield the fresh reports of silence that no sign of life outweighs."""
+    for told in upstream.told_by_member.values():
+        fresh = now - told.at < TOLD_SECONDS
+        if fresh and told.silences and told.silent_since > upstream.life_at:
+            yield told
--- a/marlbend/steering/routes.py
+++ b/marlbend/steering/routes.py
@@ -8,7 +8,7 @@
 import zlib
 from typing import final
 
-from marlbend.steering.documents import Publication, RouteSpec, ServiceLimits
+from marlbend.steering.documents import Publication, RouteSpec
 
 __all__ = ('Route', 'RouteTable', 'pick_service', 'publish_routes')
 
@@ -33,14 +33,18 @@
     `since` is when it came into force, in monotonic seconds.
     """
 
-    __slots__ = ('by_endpoint', 'limits_by_service', 'since', 'version')
+    __slots__ = ('by_endpoint', 'publication', 'since')
 
     def __init__(self) -> None:
         """Start with no publication: version zero, no route."""
-        self.version = 0
+        self.publication = Publication(0, (), {})
         self.since: float = 0
         self.by_endpoint: dict[bytes, Route] = {}
-        self.limits_by_service: dict[str, ServiceLimits] = {}
+
+    @property
+    def version(self) -> int:
+        """Return the version in force."""
+        return self.publication.version
 
 
 def publish_routes(
@@ -54,8 +58,7 @@
     table.by_endpoint = {
         spec.endpoint: _follow_up(table, spec) for spec in publication.routes
     }
-    table.limits_by_service = publication.limits_by_service
-    table.version = publication.version
+    table.publication = publication
     table.since = now
     return True
 
--- a/marlbend/steering/upstreams.py
+++ b/marlbend/steering/upstreams.py
@@ -13,14 +13,32 @@
 
 __all__ = ('Upstream', 'UpstreamPool', 'derive_cookie')
 
-# An entry that is missing after an outage of the platform is believed for this
-# long: upstreams that live register again within two seconds.
-MISSING_SECONDS: Final = 2.5
+# A registration that has gone is believed for this long, since it may have
+# lapsed in an outage of the platform: upstreams that live register again within
+# two seconds of its end.
+MISSING_SECONDS: Final = 2.2
 # A cookie that means an upstream that has ended is remembered for this long;
 # no flow is older than a minute.
 ENDED_SECONDS: Final = 65.0
 
 
+@final
+class Told:
+    """Hold what another instance of the domain told at `at` of an upstream.
+
+    `silent_since` is by the clock of this instance, as `at` is.
+    """
+
+    __slots__ = ('at', 'busy', 'silences', 'silent_since')
+
+    def __init__(self, at: float, busy: int) -> None:
+        """Start with what is told of most upstreams: no silence."""
+        self.at = at
+        self.busy = busy
+        self.silences = 0
+        self.silent_since: float = 0
+
+
 @final
 class Upstream:
     """Describe one upstream and what its flows have shown of it.
@@ -30,7 +48,8 @@
     `silent_since` is when an opening packet went unanswered with no sign of
     life after it, zero otherwise; `silences` counts such packets, and
     `retry_at` is when the next one may test it.  `busy` counts requests in
-    progress and `flows` open flows, both as seen by this instance.
+    progress and `flows` open flows, both as seen by this instance;
+    `told_by_member` holds what other instances of the domain see.
     """
 
     __slots__ = (
@@ -47,6 +66,7 @@
         'shadowed',
         'silences',
         'silent_since',
+        'told_by_member',
     )
 
     def __init__(self, entry: UpstreamEntry, now: float) -> None:
@@ -64,6 +84,7 @@
         self.silences = 0
         self.busy = 0
         self.flows = 0
+        self.told_by_member: dict[str, Told] = {}
 
 
 @final
@@ -105,11 +126,13 @@
     return False
 
 
-def miss_upstream(pool: UpstreamPool, name: str, now: float) -> None:
-    """Note that a registration was gone after an outage of the platform."""
+def miss_upstream(pool: UpstreamPool, name: str, now: float) -> bool:
+    """Note that a registration has gone; tell if that is new."""
     known = pool.by_name.get(name)
-    if known is not None and not known.missing_since:
-        known.missing_since = now
+    if known is None or known.missing_since:
+        return False
+    known.missing_since = now
+    return True
 
 
 def end_upstream(pool: UpstreamPool, name: str, now: float) -> bool:
--- /dev/null
+++ b/marlbend/wire/beats.py
@@ -0,0 +1,90 @@
+"""Encode the beats by which instances keep each other informed.
+
+A beat is one datagram.  Ages are milliseconds, so that clocks need not agree.
+"""
+
+from typing import final
+
+import msgspec
+
+__all__ = (
+    'Beat',
+    'MemberNews',
+    'TopicNews',
+    'UpstreamNews',
+    'decode_beat',
+    'encode_beat',
+)
+
+
+@final
+class TopicNews(msgspec.Struct, array_like=True, frozen=True):
+    """Say up to which revision a topic is known, and how old that is."""
+
+    topic: int
+    revision: int
+    age: int
+
+
+@final
+class MemberNews(msgspec.Struct, array_like=True, frozen=True):
+    """Tell of one instance: when it was heard, and if its reads succeed.
+
+    `endpoint` is its control endpoint.
+    """
+
+    name: str
+    endpoint: tuple[str, int]
+    domain: str
+    age: int
+    fit: bool
+
+
+@final
+class UpstreamNews(msgspec.Struct, array_like=True, frozen=True):
+    """Tell what the sender's own flows show of one upstream.
+
+    `busy` counts requests in progress and `silences` flows without a sign of
+    life since the oldest, `silent_age` ago; `life_age` is how long ago the last
+    sign was, -1 if there was none.
+    """
+
+    cookie: int
+    busy: int
+    silences: int
+    silent_age: int
+    life_age: int
+
+
+@final
+class Beat(msgspec.Struct, array_like=True, frozen=True):
+    """Carry what an instance tells another.
+
+    `members` starts with the sender itself.  `upstreams` is empty between
+    failure domains, where the paths to an upstream differ.  `answer` asks for
+    a beat in return.
+    """
+
+    members: tuple[MemberNews, ...]
+    topics: tuple[TopicNews, ...] = ()
+    upstreams: tuple[UpstreamNews, ...] = ()
+    leaving: bool = False
+    answer: bool = False
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(Beat)
+
+
+def encode_beat(beat: Beat) -> bytes:
+    """Return a beat as a datagram."""
+    return _ENCODER.encode(beat)
+
+
+def decode_beat(datagram: bytes) -> Beat | None:
+    """Return the beat in a datagram, or nothing if it is none."""
+    try:
+        beat = _DECODER.decode(datagram)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+    return beat if beat.members else None
