--- a/marlbend/edge/peers.py
+++ b/marlbend/edge/peers.py
@@ -15,7 +15,7 @@
 from marlbend.errors import MarlbendError
 from marlbend.events import Event, emit
 from marlbend.http import Connection, Page
-from marlbend.steering.evidence import note_life
+from marlbend.steering.evidence import note_life, review_domain
 from marlbend.steering.news import (
     News,
     Topic,
@@ -210,25 +210,29 @@
     beat: Beat,
     now: float,
 ) -> None:
+    steering.now = now
     for news in beat.upstreams:
         upstream = steering.pool.by_cookie.get(news.cookie)
         if upstream is not None:
-            _take_one(upstream, member, news, now)
+            _take_one(steering, upstream, member, news)
+            if news.silences:
+                review_domain(steering, upstream.entry.domain)
 
 
 def _take_one(
+    steering: Steering,
     upstream: Upstream,
     member: str,
     news: UpstreamNews,
-    now: float,
 ) -> None:
+    now = steering.now
     told = Told(now, news.busy)
     if news.silences:
         told.silences = news.silences
         told.silent_since = now - news.silent_age / _MILLISECONDS
     upstream.told_by_member[member] = told
     if news.life_age >= 0:
-        note_life(upstream, now - news.life_age / _MILLISECONDS)
+        note_life(steering, upstream, now - news.life_age / _MILLISECONDS)
 
 
 def _age(moment: float, now: float) -> int:
--- a/marlbend/edge/wiring.py
+++ b/marlbend/edge/wiring.py
@@ -32,7 +32,7 @@
     start_reading,
     start_reading_senders,
 )
-from marlbend.steering.news import Member, News, Topic
+from marlbend.steering.news import Member, News, Topic, list_live
 from marlbend.steering.packet import Packet
 from marlbend.steering.state import Outcome, Steering, Ways
 from marlbend.steering.steer import (
@@ -173,7 +173,7 @@
         _tell(steering, outcome, packet, upstream)
 
     steering = Steering(
-        settings.domain, Ways(forward, reset, remind, tell), Random()
+        settings.name, settings.domain, Ways(forward, reset, remind, tell), Random()
     )
     receive = make_receiver(steering)
 
@@ -211,6 +211,7 @@
         await asyncio.sleep(SWEEP_SECONDS)
         steering.now = steady_seconds()
         steering.heard_at = news.confirmed_by_topic[Topic.UPSTREAMS]
+        steering.peers = tuple(list_live(news, steering.now))
         sweep_flows(steering)
         for ended in expire_upstreams(steering.pool, steering.now):
             emit(Event.UPSTREAM_ENDED, upstream=ended.name, reason='missing')
--- a/marlbend/steering/choice.py
+++ b/marlbend/steering/choice.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterator
 from typing import Final
 
+from marlbend.steering.cold import may_open
 from marlbend.steering.evidence import count_busy, is_suspected
 from marlbend.steering.state import Steering
 from marlbend.steering.upstreams import Upstream
@@ -35,9 +36,8 @@
     other is left.
     """
     usable = list(_find_usable(steering, service))
-    now = steering.now
     fresh = [each for each in usable if each not in tried]
-    trusted = [each for each in fresh if not is_suspected(each, now)]
+    trusted = [each for each in fresh if not is_suspected(steering, each)]
     candidates = trusted or fresh or usable
     if not candidates:
         return None
@@ -51,7 +51,9 @@
         entry = upstream.entry
         if not entry.accepting or upstream.shadowed:
             continue
-        if entry.domain not in steering.domains_out:
+        if entry.domain in steering.domains_out:
+            continue
+        if may_open(steering, upstream):
             yield upstream
 
 
--- a/marlbend/steering/news.py
+++ b/marlbend/steering/news.py
@@ -24,6 +24,7 @@
     'choose_targets',
     'is_due',
     'is_reader',
+    'list_live',
     'make_news',
     'merge_news',
     'note_read',
@@ -112,6 +113,14 @@
     )
 
 
+def list_live(news: News, now: float) -> Iterator[tuple[str, str]]:
+    """Yield name and domain of the live instances, this one first."""
+    yield news.myself.name, news.myself.domain
+    for member in news.member_by_name.values():
+        if now - member.heard_at < GONE_SECONDS:
+            yield member.name, member.domain
+
+
 def is_due(news: News, topic: Topic, now: float) -> bool:
     """Tell whether this instance has to read a topic by itself."""
     age = now - news.confirmed_by_topic[topic]
--- a/marlbend/steering/state.py
+++ b/marlbend/steering/state.py
@@ -104,8 +104,10 @@
 class Steering:
     """Hold the state of the decisions of one instance.
 
-    `domain` is the instance's own failure domain, `domains_out` holds those
-    that the operator took out.  `upstreams_known` turns true with the first
+    `name` and `domain` are the instance's own, `domains_out` holds those
+    that the operator took out, `cut_since` those that a partition seems to
+    have cut off.  `peers` names the live instances, itself included, with their
+    domains.  `upstreams_known` turns true with the first
     complete list.  `handshake` and `deviation` estimate the seconds between an
     opening packet and the caller's next.  `heard_at` is when the platform last
     told of the upstreams, `unknown_since` when each cookie that no upstream
@@ -114,13 +116,16 @@
 
     __slots__ = (
         'counts',
+        'cut_since',
         'deviation',
         'domain',
         'domains_out',
         'flow_by_key',
         'handshake',
         'heard_at',
+        'name',
         'now',
+        'peers',
         'pool',
         'random',
         'routes',
@@ -129,14 +134,23 @@
         'ways',
     )
 
-    def __init__(self, domain: str, ways: Ways, random: Random) -> None:
+    def __init__(
+        self,
+        name: str,
+        domain: str,
+        ways: Ways,
+        random: Random,
+    ) -> None:
         """Start without routes, upstreams and flows."""
+        self.name = name
         self.domain = domain
         self.ways = ways
         self.random = random
         self.routes = RouteTable()
         self.pool = UpstreamPool()
         self.domains_out: set[str] = set()
+        self.cut_since: dict[str, float] = {}
+        self.peers: tuple[tuple[str, str], ...] = ((name, domain),)
         self.flow_by_key: dict[bytes, Flow] = {}
         self.counts = [0 for _ in Outcome]
         self.upstreams_known = False
--- a/marlbend/steering/steer.py
+++ b/marlbend/steering/steer.py
@@ -12,6 +12,7 @@
 from typing import Final
 
 from marlbend.steering.choice import choose_upstream
+from marlbend.steering.cold import spend_open
 from marlbend.steering.evidence import (
     handshake_timeout,
     measure_handshake,
@@ -75,7 +76,7 @@
     if now - due > LATE_SECONDS:
         _remind(steering, flow)
         return
-    note_silence(flow.upstream, now, flow.seen_at)
+    note_silence(steering, flow.upstream, flow.seen_at)
     if len(flow.tried) < TRIED_AT_MOST:
         _try_another(steering, flow)
 
@@ -120,7 +121,7 @@
     """Take the caller's copy of an opening packet that was sent before."""
     now = steering.now
     if now - flow.seen_at > handshake_timeout(steering):
-        note_silence(flow.upstream, now, flow.seen_at)
+        note_silence(steering, flow.upstream, flow.seen_at)
         _try_another(steering, flow)
 
 
@@ -138,6 +139,7 @@
         return
     flow.seen_at = steering.now
     flow.tried.append(flow.upstream)
+    spend_open(steering, flow.upstream)
     steering.counts[outcome] += 1
     steering.ways.forward(packet, flow.upstream)
     steering.ways.tell(outcome, packet, flow.upstream)
@@ -209,7 +211,7 @@
 
     A request that may run only once is never cut off on suspicion.
     """
-    return route.spec.repeatable and seems_dead(upstream, steering.now)
+    return route.spec.repeatable and seems_dead(steering, upstream)
 
 
 def _read_signs(
@@ -225,9 +227,9 @@
             measure_handshake(steering, now - flow.seen_at)
         flow.opening = None
         _move_flow(flow, upstream)
-        note_life(upstream, now)
+        note_life(steering, upstream, now)
     elif _is_later(packet.acknowledged, flow.acknowledged):
-        note_life(upstream, now)
+        note_life(steering, upstream, now)
         flow.sent_at = 0
         flow.repeats = 0
         if not packet.size:
@@ -249,7 +251,7 @@
     elif flow.sent_at and now - flow.sent_at > REPEAT_SECONDS:
         flow.repeats += 1
         if flow.repeats == 1:
-            note_silence(flow.upstream, now, flow.sent_at)
+            note_silence(steering, flow.upstream, flow.sent_at)
 
 
 def _is_later(position: int, other: int) -> bool:
--- a/marlbend/steering/upstreams.py
+++ b/marlbend/steering/upstreams.py
@@ -43,7 +43,8 @@
 class Upstream:
     """Describe one upstream and what its flows have shown of it.
 
-    `entry` is its latest registration.  `cold_until` is monotonic seconds.
+    `entry` is its latest registration.  `cold_until` is steady
+    seconds, as all times are, `cold_flow_at` when its latest flow was opened.
     `missing_since` and `ended_at` are zero while it is registered.
     `silent_since` is when an opening packet went unanswered with no sign of
     life after it, zero otherwise; `silences` counts such packets, and
@@ -54,6 +55,7 @@
 
     __slots__ = (
         'busy',
+        'cold_flow_at',
         'cold_until',
         'cookie',
         'ended_at',
@@ -75,6 +77,7 @@
         self.entry = entry
         self.cookie = derive_cookie(entry.name)
         self.cold_until = now + entry.cold_seconds
+        self.cold_flow_at: float = 0
         self.shadowed = False
         self.missing_since: float = 0
         self.ended_at: float = 0
