--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -8,25 +8,24 @@
 import msgspec
 
 from marlbend.config import (
-    ActiveConfig,
     Configuration,
     ServiceSpec,
     UpstreamSpec,
-    apply_configuration,
 )
-from marlbend.flows import FlowTable, choose_upstream
-from marlbend.flows.handover import find_moves
-from marlbend.flows.table import (
+from marlbend.homes.active import ActiveConfig, apply_configuration
+from marlbend.homes.flows import FlowTable, choose_upstream
+from marlbend.homes.flows.handover import find_moves
+from marlbend.homes.flows.table import (
     ESTABLISHED,
     SHARD_COUNT,
     Timeouts,
     record_flow,
     sweep_shard,
 )
-from marlbend.members import Member
-from marlbend.members.slots import SlotTable, add_member, remove_member
-from marlbend.observe import resident_bytes
-from marlbend.upstreams import Upstream
+from marlbend.homes.members import Member
+from marlbend.homes.members.slots import SlotTable, add_member, remove_member
+from marlbend.homes.upstreams import Upstream
+from marlbend.observe.memory import resident_bytes
 
 __all__ = ('DecisionSlopes', 'measure_decisions')
 
--- a/bench/lab.py
+++ b/bench/lab.py
@@ -14,14 +14,13 @@
 from bench.segments import TUNNEL_PORT, Segment, build_segment
 from bench.stage import Stage, open_platform, start_instances
 from marlbend.config import (
-    ActiveConfig,
     Configuration,
     ServiceSpec,
     UpstreamSpec,
-    apply_configuration,
 )
-from marlbend.members import Fleet, Member, apply_member, home_of
-from marlbend.packets.header import flow_digest
+from marlbend.homes.active import ActiveConfig, apply_configuration
+from marlbend.homes.members import Fleet, Member, apply_member, home_of
+from marlbend.homes.packets.header import flow_digest
 
 __all__ = (
     'ACK_FLAGS',
--- a/examples/embed.py
+++ b/examples/embed.py
@@ -9,16 +9,15 @@
 from collections.abc import Callable, Sequence
 
 from marlbend.config import (
-    ActiveConfig,
     Configuration,
     ServiceSpec,
     UpstreamSpec,
-    apply_configuration,
 )
-from marlbend.flows import FlowTable
-from marlbend.members import Fleet, Member, apply_member
-from marlbend.packets import PacketPath, Senders, make_receivers
-from marlbend.packets.state import keep_time
+from marlbend.homes.active import ActiveConfig, apply_configuration
+from marlbend.homes.flows import FlowTable
+from marlbend.homes.members import Fleet, Member, apply_member
+from marlbend.homes.packets import PacketPath, Senders, make_receivers
+from marlbend.homes.packets.state import keep_time
 
 Address = tuple[str, int]
 Relay = Callable[[bytes, Address], None]
--- a/marlbend/checking.py
+++ b/marlbend/checking.py
@@ -15,7 +15,14 @@
 from marlbend.errorcodes import ErrorKind
 from marlbend.errors import MarlbendError, Problem
 
-__all__ = ('check_address', 'decode_checked', 'find_problems', 'pack_address', 'read_json')
+__all__ = (
+    'check_address',
+    'decode_checked',
+    'find_problems',
+    'is_address',
+    'pack_address',
+    'read_json',
+)
 
 _Document = TypeVar('_Document', bound=msgspec.Struct)
 
@@ -67,9 +74,7 @@
 
 def check_address(address: str, path: str) -> Iterator[Problem]:
     """Yield a problem unless the text is an IPv4 address."""
-    try:
-        pack_address(address)
-    except ValueError:
+    if not is_address(address):
         text = messages.NOT_AN_ADDRESS.format(address=address)
         yield Problem(path, text)
 
@@ -86,6 +91,15 @@
     return packed
 
 
+def is_address(text: str) -> bool:
+    """Tell whether a text is an IPv4 address."""
+    try:
+        pack_address(text)
+    except ValueError:
+        return False
+    return True
+
+
 def _check_struct(
     raw: object,
     shape: type[msgspec.Struct],
--- a/marlbend/cli/main.py
+++ b/marlbend/cli/main.py
@@ -6,15 +6,15 @@
 
 import asyncio
 import os
+import re
 import sys
 from collections.abc import Awaitable, Callable
-from contextlib import aclosing
 from typing import Final, TypeVar, final
 
 import fire
 
 from marlbend import VERSION, messages
-from marlbend.cli import reports
+from marlbend.cli import fleet, reports
 from marlbend.config import collect_services
 from marlbend.config.publish import drain_upstream, publish_configuration
 from marlbend.errorcodes import ErrorKind
@@ -26,7 +26,9 @@
 _Answer = TypeVar('_Answer')
 
 PLATFORM_VARIABLE: Final = 'MARLBEND_PLATFORM'
+CONTROL_VARIABLE: Final = 'MARLBEND_CONTROL'
 PUBLICATION_BYTES: Final = 8
+_ENDPOINT: Final = re.compile(r'([^:]+):(\d+)')
 
 
 @final
@@ -100,10 +102,36 @@
         report = reports.DrainReport(version, service, upstream, not undo)
         reports.print_report(report, json)
 
+    def domain(self, control: str = '', json: bool = False) -> None:
+        """Show which failure domains are out of service or cut off.
+
+        Args:
+            control: control endpoint of any instance, ADDRESS:PORT, or the
+                variable MARLBEND_CONTROL.
+            json: print one JSON object.
+
+        """
+        endpoint = _find_control(control)
+        report = asyncio.run(fleet.collect_domains(endpoint))
+        reports.print_report(report, json)
+
+    def trace(self, request: str, *logs: str, json: bool = False) -> None:
+        """Show each decision on a request, from the logs of the instances.
+
+        Args:
+            request: id of the request, or a flow as the log names it.
+            logs: files with lines of any instances; else standard input.
+            json: print one JSON object.
+
+        """
+        files = tuple(map(str, logs))
+        reports.print_report(fleet.trace_request(str(request), files), json)
+
     def flows(
         self,
         service: str = '',
         platform: str = '',
+        control: str = '',
         json: bool = False,
     ) -> None:
         """Show how the open flows are spread over the upstreams.
@@ -111,9 +139,15 @@
         Args:
             service: show only this service.
             platform: URL of the platform, or the variable MARLBEND_PLATFORM.
+            control: control endpoint of an instance that steers by cookies.
             json: print one JSON object.
 
         """
+        if control:
+            endpoint = _find_control(control)
+            spread = asyncio.run(fleet.collect_spread(endpoint, service))
+            reports.print_report(spread, json)
+            return
 
         async def ask(store: Platform) -> reports.FlowsReport:
             return await reports.collect_flows(store, service)
@@ -124,6 +158,7 @@
         self,
         platform: str = '',
         instance: str = '',
+        control: str = '',
         json: bool = False,
     ) -> None:
         """Show what each instance knows of itself.
@@ -131,9 +166,15 @@
         Args:
             platform: URL of the platform, or the variable MARLBEND_PLATFORM.
             instance: show only the instance of this name.
+            control: control endpoint of an instance that steers by cookies.
             json: print one JSON object.
 
         """
+        if control:
+            endpoint = _find_control(control)
+            found = asyncio.run(fleet.collect_fleet(endpoint))
+            reports.print_report(found, json)
+            return
 
         async def ask(store: Platform) -> reports.StatusReport:
             return await reports.collect_status(store, instance)
@@ -159,6 +200,15 @@
         sys.exit(error.exit_code)
 
 
+def _find_control(endpoint: str) -> tuple[str, int]:
+    """Return a control endpoint; raise USAGE if there is none."""
+    chosen = endpoint or os.environ.get(CONTROL_VARIABLE, '')
+    found = _ENDPOINT.fullmatch(str(chosen))
+    if found is None:
+        raise MarlbendError(ErrorKind.USAGE, messages.NO_CONTROL)
+    return found.group(1), int(found.group(2))
+
+
 def _new_publication() -> str:
     return os.urandom(PUBLICATION_BYTES).hex()
 
@@ -167,15 +217,13 @@
     url: str,
     work: Callable[[Platform], Awaitable[_Answer]],
 ) -> _Answer:
-    """Run `work` with a connection to the platform and close it after."""
+    """Run `work` with a client of the platform."""
     chosen = url or os.environ.get(PLATFORM_VARIABLE, '')
     if not chosen:
         raise MarlbendError(ErrorKind.USAGE, messages.NO_PLATFORM)
 
     async def run_closing() -> _Answer:
-        store = Platform(chosen)
-        async with aclosing(store):
-            return await work(store)
+        return await work(Platform(chosen))
 
     return asyncio.run(run_closing())
 
--- a/marlbend/cli/reports.py
+++ b/marlbend/cli/reports.py
@@ -4,17 +4,17 @@
 import sys
 from collections import Counter
 from collections.abc import Iterator, Sequence
-from typing import Final
+from typing import Final, Protocol
 
 import msgspec
 
 from marlbend.config import Configuration
 from marlbend.errors import MarlbendError
-from marlbend.members import Member
+from marlbend.homes.instances import INSTANCES_PATH, decode_instances
+from marlbend.homes.members import Member
+from marlbend.homes.wire.messages import MemberStatus, Status
+from marlbend.homes.wire.rpc import call_status
 from marlbend.platform.client import Platform
-from marlbend.platform.instances import INSTANCES_PATH, decode_instances
-from marlbend.wire.messages import MemberStatus, Status
-from marlbend.wire.rpc import call_status
 
 __all__ = (
     'CheckReport',
@@ -142,14 +142,11 @@
             yield f'{silent}: no answer'
 
 
-Report = (
-    VersionReport
-    | CheckReport
-    | PublishReport
-    | DrainReport
-    | FlowsReport
-    | StatusReport
-)
+class Report(Protocol):
+    """Say what a verb prints: itself as JSON, or lines of text."""
+
+    def lines(self) -> Iterator[str]:
+        """Yield the report for a person."""
 
 
 def print_report(report: Report, as_json: bool) -> None:
@@ -160,7 +157,7 @@
         sys.stdout.writelines(f'{line}\n' for line in report.lines())
 
 
-def print_json(report: msgspec.Struct) -> None:
+def print_json(report: object) -> None:
     """Print one JSON object on a line."""
     encoded = msgspec.json.encode(report).decode()
     sys.stdout.write(f'{encoded}\n')
--- a/marlbend/config/__init__.py
+++ b/marlbend/config/__init__.py
@@ -1,6 +1,5 @@
-"""Know the services: their files, the checks, and what is in force."""
+"""Know the services: their files, and the checks."""
 
-from marlbend.config.active import ActiveConfig, Service, apply_configuration
 from marlbend.config.check import collect_services
 from marlbend.config.documents import (
     Configuration,
@@ -9,11 +8,8 @@
 )
 
 __all__ = (
-    'ActiveConfig',
     'Configuration',
-    'Service',
     'ServiceSpec',
     'UpstreamSpec',
-    'apply_configuration',
     'collect_services',
 )
--- a/marlbend/config/publish.py
+++ b/marlbend/config/publish.py
@@ -18,7 +18,7 @@
 from marlbend.config.resting import find_rests, find_unrested
 from marlbend.errorcodes import ErrorKind
 from marlbend.errors import MarlbendError
-from marlbend.platform.client import Platform, StoredObject, WriteOutcome
+from marlbend.platform.client import Platform, StoredBody, WriteOutcome
 
 __all__ = (
     'CONFIG_PATH',
@@ -42,7 +42,7 @@
     return stored.version, decode_configuration(stored)
 
 
-def decode_configuration(stored: StoredObject) -> Configuration:
+def decode_configuration(stored: StoredBody) -> Configuration:
     """Decode an object of the platform; raise MESSAGE_MALFORMED."""
     if not stored.version:
         return Configuration(())
--- a/marlbend/edge/beliefs.py
+++ b/marlbend/edge/beliefs.py
@@ -3,7 +3,8 @@
 It comes from the platform, object by object, or whole from another instance.
 """
 
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Mapping
+from types import MappingProxyType
 from typing import Final
 
 import msgspec
@@ -37,16 +38,17 @@
 )
 
 Change = tuple[StoredObject, bool]
+Take = Callable[[Steering, StoredObject, bool], None]
 Whole = Publication | tuple[UpstreamEntry, ...] | tuple[str, ...]
 
 _ENCODER: Final = msgspec.msgpack.Encoder()
-_DECODE_BY_TOPIC: Final[dict[Topic, Callable[[bytes], Whole]]] = {
-    Topic.CONFIGURATION: msgspec.msgpack.Decoder(Publication).decode,
-    Topic.UPSTREAMS: msgspec.msgpack.Decoder(
-        tuple[UpstreamEntry, ...],
-    ).decode,
-    Topic.DOMAINS_OUT: msgspec.msgpack.Decoder(tuple[str, ...]).decode,
-}
+_SHAPE_BY_TOPIC: Final = MappingProxyType(
+    {
+        Topic.CONFIGURATION: Publication,
+        Topic.UPSTREAMS: tuple[UpstreamEntry, ...],
+        Topic.DOMAINS_OUT: tuple[str, ...],
+    }
+)
 LISTED: Final = False
 
 
@@ -97,7 +99,8 @@
 
 def decode_whole(topic: Topic, body: bytes) -> Whole:
     """Decode what `encode_whole` made; raise `msgspec.DecodeError`."""
-    return _DECODE_BY_TOPIC[topic](body)
+    shape: type[Whole] = _SHAPE_BY_TOPIC[topic]
+    return msgspec.msgpack.decode(body, type=shape)
 
 
 def take_whole(steering: Steering, topic: Topic, whole: Whole) -> None:
@@ -120,7 +123,8 @@
         return
     publication = read_publication(stored)
     if publication is None:
-        emit(Event.CONFIG_REFUSED, error=f'revision {stored.meta.rev}')
+        revision = stored.meta.rev
+        emit(Event.CONFIG_REFUSED, error=f'revision {revision}')
     else:
         _publish(steering, publication)
 
@@ -136,7 +140,7 @@
 ) -> None:
     for entry in entries:
         _register(steering, entry)
-    present = (entry.name for entry in entries)
+    present = (each.name for each in entries)
     for name in names_except(steering.pool, present):
         _lose(steering, name)
     steering.upstreams_known = True
@@ -204,10 +208,10 @@
     emit(Event.DOMAIN_MOVED, domain=name, state='out' if out else 'in')
 
 
-_TAKE_BY_TOPIC: Final[
-    dict[Topic, Callable[[Steering, StoredObject, bool], None]]
-] = {
-    Topic.CONFIGURATION: _take_configuration,
-    Topic.UPSTREAMS: _take_upstream,
-    Topic.DOMAINS_OUT: _take_domain,
-}
+_TAKE_BY_TOPIC: Final[Mapping[Topic, Take]] = MappingProxyType(
+    {
+        Topic.CONFIGURATION: _take_configuration,
+        Topic.UPSTREAMS: _take_upstream,
+        Topic.DOMAINS_OUT: _take_domain,
+    }
+)
--- a/marlbend/edge/follow.py
+++ b/marlbend/edge/follow.py
@@ -20,13 +20,13 @@
 from marlbend.errors import MarlbendError
 from marlbend.events import Event, emit
 from marlbend.http import Answer, Connection
+from marlbend.platform.client import expect_status
 from marlbend.platform.objects import (
     StoredObject,
-    list_path,
     read_changes,
     read_page,
-    watch_path,
 )
+from marlbend.platform.paths import list_path, watch_path
 from marlbend.steering.news import (
     News,
     Topic,
@@ -128,11 +128,11 @@
     while more:
         path = list_path(feed.topic, after)
         answer = await _call(feed, path, LIST_SECONDS)
-        objects, at, more = _decode(answer, read_page)
-        found.extend(objects)
+        page, at, more = _decode(answer, read_page)
+        found.extend(page)
         # Changes since the first page are watched from its revision.
         revision = revision or at
-        after = objects[-1].meta.name if objects else ''
+        after = page[-1].meta.name if page else ''
     known = feed.news.revision_by_topic[feed.topic]
     feed.history_gone = False
     if revision >= known:
@@ -176,12 +176,7 @@
 
 async def _call(feed: Feed, path: str, seconds: float) -> Answer:
     answer = await feed.connection.call('GET', path, seconds)
-    if answer.status not in {_OK, _GONE}:
-        raise MarlbendError(
-            ErrorKind.PLATFORM_REFUSED,
-            messages.PLATFORM_REFUSED.format(status=answer.status, url=path),
-        )
-    return answer
+    return expect_status(answer, path, _OK, _GONE)
 
 
 def _decode(answer: Answer, read: Callable[[bytes], _Decoded]) -> _Decoded:
--- a/marlbend/edge/peers.py
+++ b/marlbend/edge/peers.py
@@ -14,7 +14,7 @@
 from marlbend.edge.beliefs import decode_whole, encode_whole, take_whole
 from marlbend.errors import MarlbendError
 from marlbend.events import Event, emit
-from marlbend.http import Connection, Page
+from marlbend.http import Answer, Connection, Page
 from marlbend.steering.evidence import note_life, review_domain
 from marlbend.steering.news import (
     News,
@@ -33,7 +33,14 @@
     encode_beat,
 )
 
-__all__ = ('Peers', 'make_pages', 'receive_beat', 'send_beats', 'send_farewell', 'spread_news')
+__all__ = (
+    'Peers',
+    'make_pages',
+    'receive_beat',
+    'send_beats',
+    'send_farewell',
+    'spread_news',
+)
 
 Address = tuple[str, int]
 
@@ -104,9 +111,7 @@
 
 def send_farewell(peers: Peers) -> None:
     """Tell every instance known that this one stops."""
-    members, _ = make_news(
-        peers.news, peers.steering.random, steady_seconds()
-    )
+    members, _ = make_news(peers.news, peers.steering.random, steady_seconds())
     farewell = encode_beat(Beat(members[:1], leaving=True))
     for member in peers.news.member_by_name.values():
         peers.send(farewell, member.endpoint)
@@ -154,11 +159,11 @@
 
 async def _fetch(peers: Peers, topic: Topic, sender: Address) -> None:
     connection = Connection(sender)
+    path = _PATH.format(topic=int(topic))
     try:
-        path = _PATH.format(topic=int(topic))
-        answer = await connection.call('GET', path, FETCH_SECONDS)
-        if answer.status == _OK:
-            _take_answer(peers, topic, answer.body)
+        _take_answer(
+            peers, topic, await connection.call('GET', path, FETCH_SECONDS)
+        )
     except (MarlbendError, msgspec.DecodeError) as error:
         emit(Event.FETCH_FAILED, peer=sender[0], error=error)
     finally:
@@ -166,8 +171,10 @@
         peers.fetching.discard(topic)
 
 
-def _take_answer(peers: Peers, topic: Topic, body: bytes) -> None:
-    told = msgspec.msgpack.decode(body, type=_Told)
+def _take_answer(peers: Peers, topic: Topic, answer: Answer) -> None:
+    if answer.status != _OK:
+        return
+    told = msgspec.msgpack.decode(answer.body, type=_Told)
     if told.revision <= peers.news.revision_by_topic[topic]:
         return
     take_whole(peers.steering, topic, decode_whole(topic, told.whole))
--- /dev/null
+++ b/marlbend/edge/status.py
@@ -0,0 +1,137 @@
+"""Tell what an instance knows and does: for the tool and for metrics."""
+
+from collections.abc import Iterator
+from typing import Final
+
+from marlbend import VERSION
+from marlbend.clock import steady_seconds
+from marlbend.edge.peers import Peers
+from marlbend.http import Page
+from marlbend.observe.latency import Latencies
+from marlbend.observe.memory import resident_bytes
+from marlbend.steering.evidence import count_busy, is_suspected
+from marlbend.steering.news import Topic, is_reader, list_live
+from marlbend.steering.state import Outcome, Steering
+from marlbend.steering.upstreams import Upstream
+from marlbend.wire.status import (
+    CookieStatus,
+    MemberStatus,
+    TopicStatus,
+    UpstreamStatus,
+)
+
+__all__ = (
+    'describe',
+    'render_metrics',
+)
+
+_OK: Final = 200
+_PERCENT: Final = 100
+_UPSTREAM_LABELS: Final = '{{upstream="{name}",state="{state}"}}'
+
+
+def describe(peers: Peers) -> CookieStatus:
+    """Return the status of this instance now."""
+    steering = peers.steering
+    news = peers.news
+    now = steady_seconds()
+    steering.now = now
+    return CookieStatus(
+        name=steering.place.name,
+        domain=steering.place.domain,
+        version=VERSION,
+        ready=steering.ready,
+        configuration=steering.routes.version,
+        routes=len(steering.routes.by_endpoint),
+        reader=is_reader(news, now),
+        topics={
+            topic.name.lower(): TopicStatus(
+                news.revision_by_topic[topic],
+                round(now - news.confirmed_by_topic[topic], 3),
+            )
+            for topic in Topic
+            if news.revision_by_topic[topic]
+        },
+        members=tuple(
+            MemberStatus(each.name, each.domain, each.endpoint)
+            for each in list_live(news, now)
+        ),
+        domains_out=tuple(sorted(steering.domains_out)),
+        domains_cut=tuple(sorted(steering.cut_since)),
+        upstreams=tuple(
+            _describe_upstream(steering, known)
+            for _, known in sorted(steering.pool.by_name.items())
+        ),
+        packets={
+            outcome.name.lower(): steering.counts[outcome]
+            for outcome in Outcome
+        },
+        resident_bytes=resident_bytes(),
+    )
+
+
+def render_metrics(peers: Peers, handshakes: Latencies) -> Page:
+    """Return the counters and histograms as Prometheus text."""
+    lines = '\n'.join(_metric_lines(peers, handshakes))
+    return _OK, 'text/plain; version=0.0.4', f'{lines}\n'.encode()
+
+
+def _describe_upstream(
+    steering: Steering,
+    upstream: Upstream,
+) -> UpstreamStatus:
+    return UpstreamStatus(
+        name=upstream.name,
+        service=upstream.entry.service,
+        domain=upstream.entry.domain,
+        state=_name_state(steering, upstream),
+        flows=upstream.flows,
+        busy=count_busy(upstream, steering.now),
+        silences=upstream.silences,
+    )
+
+
+def _name_state(steering: Steering, upstream: Upstream) -> str:
+    conditions = (
+        (bool(upstream.ended_at), 'ended'),
+        (bool(upstream.missing_since), 'missing'),
+        (not upstream.entry.accepting, 'draining'),
+        (upstream.entry.domain in steering.domains_out, 'out'),
+        (is_suspected(steering, upstream), 'suspected'),
+        (upstream.cold_until > steering.now, 'cold'),
+    )
+    return next((name for holds, name in conditions if holds), 'ready')
+
+
+def _metric_lines(peers: Peers, handshakes: Latencies) -> Iterator[str]:
+    status = describe(peers)
+    for outcome, count in status.packets.items():
+        yield f'marlbend_packets_total{{outcome="{outcome}"}} {count}'
+    for name, topic in status.topics.items():
+        labels = f'{{topic="{name}"}}'
+        yield f'marlbend_topic_revision{labels} {topic.revision}'
+        yield f'marlbend_topic_age_seconds{labels} {topic.age_seconds}'
+    for upstream in status.upstreams:
+        labels = _UPSTREAM_LABELS.format(
+            name=upstream.name, state=upstream.state
+        )
+        yield f'marlbend_upstream_flows{labels} {upstream.flows}'
+        yield f'marlbend_upstream_busy{labels} {upstream.busy}'
+    yield from _gauge_lines(status)
+    yield from _handshake_lines(handshakes)
+
+
+def _gauge_lines(status: CookieStatus) -> Iterator[str]:
+    yield f'marlbend_configuration {status.configuration}'
+    yield f'marlbend_members {len(status.members)}'
+    yield f'marlbend_reader {int(status.reader)}'
+    yield f'marlbend_resident_bytes {status.resident_bytes}'
+
+
+def _handshake_lines(handshakes: Latencies) -> Iterator[str]:
+    for percentile, seconds in handshakes.quantiles().items():
+        share = percentile / _PERCENT
+        labels = f'{{quantile="{share}"}}'
+        yield f'marlbend_handshake_seconds{labels} {seconds}'
+    yield f'marlbend_handshake_seconds_sum {handshakes.total}'
+    yield f'marlbend_handshake_seconds_count {handshakes.count()}'
--- a/marlbend/edge/wiring.py
+++ b/marlbend/edge/wiring.py
@@ -6,10 +6,12 @@
 
 import asyncio
 import signal
-from collections.abc import Iterator
+from collections.abc import Coroutine, Iterator
 from random import Random
 from typing import Final
 
+import msgspec
+
 from marlbend import VERSION
 from marlbend.clock import steady_seconds
 from marlbend.edge.follow import Feed, follow_topic
@@ -21,9 +23,12 @@
     send_farewell,
     spread_news,
 )
+from marlbend.edge.status import describe, render_metrics
+from marlbend.edge.telling import make_teller
 from marlbend.events import Event, emit
 from marlbend.http import Connection, Page, serve_pages
 from marlbend.options import CookieSettings, Settings, split_endpoint
+from marlbend.platform.client import split_url
 from marlbend.platform.header import address_packet, make_reset, read_packet
 from marlbend.platform.objects import host_number
 from marlbend.sockets import (
@@ -32,15 +37,13 @@
     start_reading,
     start_reading_senders,
 )
+from marlbend.steering.flows import sweep_flows
 from marlbend.steering.news import Member, News, Topic, list_live
 from marlbend.steering.packet import Packet
-from marlbend.steering.state import Outcome, Steering, Ways
-from marlbend.steering.steer import (
-    make_receiver,
-    review_opening,
-    sweep_flows,
-)
+from marlbend.steering.state import Outcome, Place, Steering, Ways
+from marlbend.steering.steer import make_receiver, review_opening
 from marlbend.steering.upstreams import Upstream, expire_upstreams
+from marlbend.wire import STATUS_PATH
 from marlbend.wire.beats import MemberNews
 
 __all__ = ('serve',)
@@ -51,6 +54,10 @@
 # An instance reads for itself at this share of the time in which a change has
 # to be in force; what is left is for the call.
 PATIENCE_SHARE: Final = 0.75
+READY_PATH: Final = '/api/ready'
+METRICS_PATH: Final = '/metrics'
+_OK: Final = 200
+_UNAVAILABLE: Final = 503
 _MILLISECONDS: Final = 1000
 
 
@@ -59,42 +66,86 @@
     emit(Event.STARTED, name=settings.name, version=VERSION)
     steering = _wire_steering(settings, cookie)
     peers = _wire_peers(settings, cookie, steering)
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-
-    def ready() -> Page:
-        serving = steering.ready and not stop.is_set()
-        return (200 if serving else 503), 'text/plain', b''
-
-    servers = [
-        await serve_pages(
-            split_endpoint(cookie.ready), {'/api/ready': ready}
-        ),
-        await serve_pages(split_endpoint(cookie.control), make_pages(peers)),
-    ]
+    stop = _catch_signals()
+    servers = await _start_servers(settings, cookie, peers, stop)
     async with asyncio.TaskGroup() as group:
         tasks = [
-            group.create_task(follow_topic(feed))
-            for feed in _make_feeds(settings, peers)
+            group.create_task(work) for work in _list_work(settings, peers)
         ]
-        tasks.append(group.create_task(send_beats(peers)))
-        tasks.append(group.create_task(_sweep(steering, peers.news)))
-        await stop.wait()
-        emit(Event.STOP_ASKED)
-        peers.news.myself.fit = False
-        await asyncio.sleep(min(LEAVE_SECONDS, cookie.stop_seconds / 2))
+        await _leave_when_asked(stop, peers, cookie)
         for task in (*tasks, *peers.tasks):
             task.cancel()
-    send_farewell(peers)
     for server in servers:
         server.close()
     emit(Event.STOPPED, flows=len(steering.flow_by_key))
 
 
+def _catch_signals() -> asyncio.Event:
+    """Return an event that is set when the process is asked to stop."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    return stop
+
+
+async def _leave_when_asked(
+    stop: asyncio.Event,
+    peers: Peers,
+    cookie: CookieSettings,
+) -> None:
+    """Go on forwarding until the routers send packets elsewhere."""
+    await stop.wait()
+    emit(Event.STOP_ASKED)
+    peers.news.myself.fit = False
+    await asyncio.sleep(min(LEAVE_SECONDS, cookie.stop_seconds / 2))
+    send_farewell(peers)
+
+
+async def _start_servers(
+    settings: Settings,
+    cookie: CookieSettings,
+    peers: Peers,
+    stop: asyncio.Event,
+) -> list[asyncio.Server]:
+    """Serve the routers, other instances, the tool and the collector."""
+
+    def ready() -> Page:
+        serving = peers.steering.ready and not stop.is_set()
+        return (_OK if serving else _UNAVAILABLE), 'text/plain', b''
+
+    def status() -> Page:
+        return _OK, 'application/json', msgspec.json.encode(describe(peers))
+
+    def metrics() -> Page:
+        return render_metrics(peers, peers.steering.handshakes.latencies)
+
+    pages_by_endpoint = {
+        split_endpoint(cookie.ready): {READY_PATH: ready},
+        split_endpoint(cookie.control): {
+            **make_pages(peers),
+            STATUS_PATH: status,
+        },
+        (settings.address, cookie.metrics_port): {METRICS_PATH: metrics},
+    }
+    return [
+        await serve_pages(endpoint, pages)
+        for endpoint, pages in pages_by_endpoint.items()
+    ]
+
+
+def _list_work(
+    settings: Settings,
+    peers: Peers,
+) -> Iterator[Coroutine[None, None, None]]:
+    for feed in _make_feeds(settings, peers):
+        yield follow_topic(feed)
+    yield send_beats(peers)
+    yield _sweep(peers.steering, peers.news)
+
+
 def _make_feeds(settings: Settings, peers: Peers) -> Iterator[Feed]:
-    address = split_endpoint(settings.platform.partition('://')[2])
+    address = split_url(settings.platform)
 
     def spread() -> None:
         spread_news(peers)
@@ -165,15 +216,10 @@
         steering.now = steady_seconds()
         review_opening(steering, key, due)
 
-    def tell(
-        outcome: Outcome,
-        packet: Packet,
-        upstream: Upstream | None,
-    ) -> None:
-        _tell(steering, outcome, packet, upstream)
-
     steering = Steering(
-        settings.name, settings.domain, Ways(forward, reset, remind, tell), Random()
+        Place(settings.name, settings.domain),
+        Ways(forward, reset, remind, make_teller(lambda: steering)),
+        Random(),
     )
     receive = make_receiver(steering)
 
@@ -191,27 +237,26 @@
     return steering
 
 
-def _tell(
-    steering: Steering,
-    outcome: Outcome,
-    packet: Packet,
-    upstream: Upstream | None,
-) -> None:
-    emit(
-        Event.FLOW_DECIDED,
-        outcome=outcome.name.lower(),
-        flow=packet.flow.hex(),
-        upstream=upstream.name if upstream else '',
-        version=steering.routes.version,
-    )
-
-
 async def _sweep(steering: Steering, news: News) -> None:
+    cut: set[str] = set()
     while True:
         await asyncio.sleep(SWEEP_SECONDS)
         steering.now = steady_seconds()
+        _tell_partitions(steering, cut)
         steering.heard_at = news.confirmed_by_topic[Topic.UPSTREAMS]
-        steering.peers = tuple(list_live(news, steering.now))
+        steering.place.peers = tuple(
+            (each.name, each.domain) for each in list_live(news, steering.now)
+        )
         sweep_flows(steering)
         for ended in expire_upstreams(steering.pool, steering.now):
             emit(Event.UPSTREAM_ENDED, upstream=ended.name, reason='missing')
+
+
+def _tell_partitions(steering: Steering, told: set[str]) -> None:
+    for domain in told.symmetric_difference(steering.cut_since):
+        event = Event.PARTITION_OVER
+        if domain in steering.cut_since:
+            event = Event.PARTITION_SEEN
+        emit(event, domain=domain)
+    told.clear()
+    told.update(steering.cut_since)
--- a/marlbend/events.py
+++ b/marlbend/events.py
@@ -52,7 +52,17 @@
     UPSTREAM_MISSING = (221, logging.INFO, 'upstream {upstream} is missing')
     UPSTREAM_ENDED = (222, logging.INFO, 'upstream {upstream} ended: {reason}')
     FETCH_FAILED = (302, logging.INFO, 'nothing learned from {peer}: {error}')
-    FLOW_DECIDED = (600, logging.INFO, '{outcome} {flow} to {upstream}, configuration {version}')
+    FLOW_OPENED = (600, logging.INFO, '{flow} opened to {upstream}')
+    FLOW_REOPENED = (
+        601,
+        logging.INFO,
+        '{flow} sent to {upstream} as nothing came of {earlier}',
+    )
+    REQUEST_SENT = (602, logging.INFO, 'request {request} of {flow} sent on')
+    FLOW_REFUSED = (610, logging.INFO, '{flow} refused: {reason}')
+    FLOW_RESET = (611, logging.INFO, '{flow} of {upstream} reset: {reason}')
+    PARTITION_SEEN = (230, logging.WARNING, 'domain {domain} seems cut off')
+    PARTITION_OVER = (231, logging.INFO, 'domain {domain} answers again')
 
     def __init__(self, number: int, level: int, text: str) -> None:
         """Name the three parts of an event."""
@@ -62,7 +72,11 @@
 
 
 def emit(event: Event, **fields: object) -> None:
-    """Write one event to the log with its number in front."""
+    """Write one event to the log: its number, its text and its fields.
+
+    Fields that the text does not name are written beside it.
+    """
     if _LOGGER.isEnabledFor(event.level):
         text = event.text.format(**fields)
-        _LOGGER.log(event.level, 'E%03d %s', event.number, text)
+        extra = {'event': event.number, 'fields': fields}
+        _LOGGER.log(event.level, 'E%03d %s', event.number, text, extra=extra)
--- a/marlbend/flows/__init__.py
+++ /dev/null
@@ -1,6 +0,0 @@
-"""Hold flows and choose their upstreams."""
-
-from marlbend.flows.choice import choose_default, choose_upstream
-from marlbend.flows.table import FlowTable, Timeouts
-
-__all__ = ('FlowTable', 'Timeouts', 'choose_default', 'choose_upstream')
--- a/marlbend/daemon/control.py
+++ b/marlbend/homes/daemon/control.py
@@ -4,15 +4,15 @@
 from collections.abc import Callable
 from typing import Final
 
-from marlbend.daemon.loads import take_loads
-from marlbend.daemon.state import Address, Instance, Outbox
-from marlbend.daemon.views import enter_view
-from marlbend.flows.replicas import take_copies
-from marlbend.members.answer import receive_message
-from marlbend.observe import Metrics
-from marlbend.wire.control import ControlMessage, decode, encode
-from marlbend.wire.copies import Copies, LoadReport
-from marlbend.wire.liveness import Ping
+from marlbend.homes.daemon.loads import take_loads
+from marlbend.homes.daemon.state import Address, Instance, Outbox
+from marlbend.homes.daemon.views import enter_view
+from marlbend.homes.flows.replicas import take_copies
+from marlbend.homes.members.answer import receive_message
+from marlbend.homes.wire.control import ControlMessage, decode, encode
+from marlbend.homes.wire.copies import Copies, LoadReport
+from marlbend.homes.wire.liveness import Ping
+from marlbend.observe.metrics import Metrics
 
 __all__ = ('make_outbox', 'make_receiver')
 
--- a/marlbend/daemon/following.py
+++ b/marlbend/homes/daemon/following.py
@@ -11,19 +11,20 @@
 import time
 from typing import Final
 
-from marlbend.config import Configuration, apply_configuration
+from marlbend.config import Configuration
 from marlbend.config.publish import CONFIG_PATH, decode_configuration
-from marlbend.daemon.state import Address, Instance
-from marlbend.daemon.views import enter_view
 from marlbend.errors import MarlbendError
 from marlbend.events import Event, emit
-from marlbend.members import Fleet, note_listed
-from marlbend.members.prober import announce, spread_config
-from marlbend.platform.client import StoredObject
-from marlbend.platform.follow import follow_object
-from marlbend.platform.instances import INSTANCES_PATH, decode_instances
-from marlbend.wire.messages import Snapshot
-from marlbend.wire.rpc import call_snapshot
+from marlbend.homes.active import apply_configuration
+from marlbend.homes.daemon.state import Address, Instance
+from marlbend.homes.daemon.views import enter_view
+from marlbend.homes.follow import follow_object
+from marlbend.homes.instances import INSTANCES_PATH, decode_instances
+from marlbend.homes.members import Fleet, note_listed
+from marlbend.homes.members.prober import announce, spread_config
+from marlbend.homes.wire.messages import Snapshot
+from marlbend.homes.wire.rpc import call_snapshot
+from marlbend.platform.client import StoredBody
 
 __all__ = (
     'follow_peers',
@@ -70,7 +71,7 @@
     return fleet.myself in readers
 
 
-def take_config(instance: Instance, stored: StoredObject) -> None:
+def take_config(instance: Instance, stored: StoredBody) -> None:
     """Put a configuration of the platform in force if it is newer."""
     try:
         document = decode_configuration(stored)
@@ -81,7 +82,7 @@
         put_in_force(instance, stored.version, document)
 
 
-def take_instances(instance: Instance, stored: StoredObject) -> None:
+def take_instances(instance: Instance, stored: StoredBody) -> None:
     """Take the platform's list of instances."""
     try:
         listed = decode_instances(stored)
@@ -153,10 +154,10 @@
 
 
 async def _watch_while_reader(instance: Instance) -> None:
-    def on_config(stored: StoredObject) -> None:
+    def on_config(stored: StoredBody) -> None:
         take_config(instance, stored)
 
-    def on_instances(stored: StoredObject) -> None:
+    def on_instances(stored: StoredBody) -> None:
         take_instances(instance, stored)
 
     takers = {CONFIG_PATH: on_config, INSTANCES_PATH: on_instances}
--- a/marlbend/daemon/instance.py
+++ b/marlbend/homes/daemon/instance.py
@@ -14,22 +14,22 @@
 import msgspec
 
 from marlbend import VERSION
-from marlbend.daemon.following import follow_peers, follow_platform
-from marlbend.daemon.joining import Contact, join_fleet
-from marlbend.daemon.loads import report_loads
-from marlbend.daemon.replication import replicate_departures
-from marlbend.daemon.state import Instance
-from marlbend.daemon.transfer import transfer_flows
-from marlbend.daemon.views import enter_view
 from marlbend.events import Event, emit
-from marlbend.flows.table import SHARD_COUNT, sweep_shard
-from marlbend.members import MemberState
-from marlbend.members.fleet import forget_departed
-from marlbend.members.probe import step
-from marlbend.members.prober import announce, farewell
+from marlbend.homes.daemon.following import follow_peers, follow_platform
+from marlbend.homes.daemon.joining import Contact, join_fleet
+from marlbend.homes.daemon.loads import report_loads
+from marlbend.homes.daemon.replication import replicate_departures
+from marlbend.homes.daemon.state import Instance
+from marlbend.homes.daemon.transfer import transfer_flows
+from marlbend.homes.daemon.views import enter_view
+from marlbend.homes.flows.table import SHARD_COUNT, sweep_shard
+from marlbend.homes.members import MemberState
+from marlbend.homes.members.fleet import forget_departed
+from marlbend.homes.members.probe import step
+from marlbend.homes.members.prober import announce, farewell
+from marlbend.homes.packets.state import keep_time
+from marlbend.homes.upstreams.load import settle_rates
 from marlbend.observe.meter import metered
-from marlbend.packets.state import keep_time
-from marlbend.upstreams.load import settle_rates
 
 __all__ = ('run_instance',)
 
@@ -57,7 +57,6 @@
         await _leave(instance)
         for task in tasks:
             task.cancel()
-    await instance.platform.aclose()
     instance.lifecycle.trigger('stop')
     emit(Event.STOPPED, flows=len(instance.path.table))
 
--- a/marlbend/daemon/joining.py
+++ b/marlbend/homes/daemon/joining.py
@@ -13,17 +13,17 @@
 
 from marlbend import VERSION
 from marlbend.config.publish import CONFIG_PATH
-from marlbend.daemon.following import (
+from marlbend.errors import MarlbendError
+from marlbend.events import Event, emit
+from marlbend.homes.daemon.following import (
     fetch_snapshot,
     take_config,
     take_instances,
 )
-from marlbend.daemon.state import Instance
-from marlbend.daemon.views import enter_view
-from marlbend.errors import MarlbendError
-from marlbend.events import Event, emit
-from marlbend.members.prober import announce
-from marlbend.platform.instances import INSTANCES_PATH
+from marlbend.homes.daemon.state import Instance
+from marlbend.homes.daemon.views import enter_view
+from marlbend.homes.instances import INSTANCES_PATH
+from marlbend.homes.members.prober import announce
 
 __all__ = ('join_fleet',)
 
--- a/marlbend/daemon/loads.py
+++ b/marlbend/homes/daemon/loads.py
@@ -8,11 +8,11 @@
 from collections.abc import Iterator
 from typing import Final, final
 
-from marlbend.daemon.state import Instance
-from marlbend.members import live_members
-from marlbend.packets import PacketPath
-from marlbend.upstreams.load import take_report
-from marlbend.wire.copies import LoadReport, ServiceLoad
+from marlbend.homes.daemon.state import Instance
+from marlbend.homes.members import live_members
+from marlbend.homes.packets import PacketPath
+from marlbend.homes.upstreams.load import take_report
+from marlbend.homes.wire.copies import LoadReport, ServiceLoad
 
 __all__ = ('report_loads', 'take_loads')
 
--- a/marlbend/daemon/replication.py
+++ b/marlbend/homes/daemon/replication.py
@@ -10,10 +10,10 @@
 from collections.abc import Iterator
 from typing import Final, final
 
-from marlbend.daemon.state import Instance
-from marlbend.flows.choice import choose_default
-from marlbend.flows.handover import group_flows
-from marlbend.flows.table import (
+from marlbend.homes.daemon.state import Instance
+from marlbend.homes.flows.choice import choose_default
+from marlbend.homes.flows.handover import group_flows
+from marlbend.homes.flows.table import (
     ESTABLISHED,
     SHARD_COUNT,
     entry_departs,
@@ -22,9 +22,9 @@
     iterate_shard,
     mark_departure,
 )
-from marlbend.members import heir_of
-from marlbend.packets import PacketPath
-from marlbend.wire.copies import Copies
+from marlbend.homes.members import heir_of
+from marlbend.homes.packets import PacketPath
+from marlbend.homes.wire.copies import Copies
 
 __all__ = ('replicate_departures',)
 
--- a/marlbend/daemon/state.py
+++ b/marlbend/homes/daemon/state.py
@@ -6,13 +6,13 @@
 
 from transitions import Machine
 
-from marlbend.flows import Timeouts
-from marlbend.flows.replicas import Replicas
-from marlbend.members.prober import Letter, Prober
-from marlbend.observe import Metrics
-from marlbend.packets import PacketPath
+from marlbend.homes.flows import Timeouts
+from marlbend.homes.flows.replicas import Replicas
+from marlbend.homes.members.prober import Letter, Prober
+from marlbend.homes.packets import PacketPath
+from marlbend.homes.wire.control import ControlMessage
+from marlbend.observe.metrics import Metrics
 from marlbend.platform.client import Platform
-from marlbend.wire.control import ControlMessage
 
 __all__ = ('Instance', 'Outbox')
 
--- a/marlbend/daemon/transfer.py
+++ b/marlbend/homes/daemon/transfer.py
@@ -14,11 +14,11 @@
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Final, final
 
-from marlbend.config import Service
-from marlbend.daemon.state import Instance
 from marlbend.errors import MarlbendError
 from marlbend.events import Event, emit
-from marlbend.flows.handover import (
+from marlbend.homes.active import Service
+from marlbend.homes.daemon.state import Instance
+from marlbend.homes.flows.handover import (
     Moves,
     find_moves,
     forget_flows,
@@ -26,15 +26,15 @@
     split_group,
     take_flows,
 )
-from marlbend.flows.table import SHARD_COUNT
-from marlbend.members import Fleet, Member, home_of
-from marlbend.members.fleet import view_mark
-from marlbend.members.homes import holders_before, receivers_of_moves
-from marlbend.members.member import MemberState
-from marlbend.packets import PacketPath
-from marlbend.wire.flows import FlowGroup
-from marlbend.wire.messages import HandOver, HandOverReply
-from marlbend.wire.rpc import call_hand_over
+from marlbend.homes.flows.table import SHARD_COUNT
+from marlbend.homes.members import Fleet, Member, home_of
+from marlbend.homes.members.fleet import view_mark
+from marlbend.homes.members.homes import holders_before, receivers_of_moves
+from marlbend.homes.members.member import MemberState
+from marlbend.homes.packets import PacketPath
+from marlbend.homes.wire.flows import FlowGroup
+from marlbend.homes.wire.messages import HandOver, HandOverReply
+from marlbend.homes.wire.rpc import call_hand_over
 
 __all__ = ('Worked', 'take_hand_over', 'transfer_flows', 'transfer_once')
 
--- a/marlbend/daemon/views.py
+++ b/marlbend/homes/daemon/views.py
@@ -4,11 +4,11 @@
 decides on any packet of the flows it inherits.
 """
 
-from marlbend.daemon.state import Instance
 from marlbend.events import Event, emit
-from marlbend.flows.replicas import adopt_orphans
-from marlbend.members import Fleet, MemberState, live_members
-from marlbend.upstreams.load import drop_reports
+from marlbend.homes.daemon.state import Instance
+from marlbend.homes.flows.replicas import adopt_orphans
+from marlbend.homes.members import Fleet, MemberState, live_members
+from marlbend.homes.upstreams.load import drop_reports
 
 __all__ = ('enter_view',)
 
--- a/marlbend/daemon/wiring.py
+++ b/marlbend/homes/daemon/wiring.py
@@ -1,8 +1,8 @@
 """Wire an instance that steers by homes, and run it until SIGTERM.
 
-This is the composition root; every part is made here and handed to the parts
-that use it.  The whole way of a packet is told in `marlbend.packets.path`,
-the life of an instance in `marlbend.daemon.instance`.
+This is the composition root of that way; every part is made here and handed to
+the parts that use it.  `marlbend.homes.packets.path` tells the whole way of a
+packet, `marlbend.homes.daemon.instance` the life of an instance.
 """
 
 import asyncio
@@ -14,29 +14,20 @@
 
 import grpc
 
-from marlbend.config import ActiveConfig
-from marlbend.daemon.control import make_outbox, make_receiver
-from marlbend.daemon.following import make_snapshot
-from marlbend.daemon.instance import run_instance
-from marlbend.daemon.state import Instance
-from marlbend.daemon.transfer import take_hand_over
-from marlbend.flows import FlowTable, Timeouts
-from marlbend.lifecycle import make_lifecycle
-from marlbend.members import Fleet, Member
-from marlbend.members.prober import Prober
-from marlbend.observe import Metrics, time_decisions
-from marlbend.observe.status import describe_instance
-from marlbend.options import Settings
-from marlbend.packets import Outcome, PacketPath, Senders, make_receivers
-from marlbend.sockets import (
-    make_sender,
-    open_socket,
-    start_reading,
-    start_reading_senders,
-)
-from marlbend.packets.state import keep_time
-from marlbend.platform.client import Platform
-from marlbend.wire.messages import (
+from marlbend.homes.active import ActiveConfig
+from marlbend.homes.daemon.control import make_outbox, make_receiver
+from marlbend.homes.daemon.following import make_snapshot
+from marlbend.homes.daemon.instance import run_instance
+from marlbend.homes.daemon.state import Instance
+from marlbend.homes.daemon.transfer import take_hand_over
+from marlbend.homes.flows import FlowTable, Timeouts
+from marlbend.homes.lifecycle import make_lifecycle
+from marlbend.homes.members import Fleet, Member
+from marlbend.homes.members.prober import Prober
+from marlbend.homes.packets import Outcome, PacketPath, Senders, make_receivers
+from marlbend.homes.packets.state import keep_time
+from marlbend.homes.status import describe_instance
+from marlbend.homes.wire.messages import (
     HandOver,
     HandOverReply,
     Snapshot,
@@ -44,7 +35,16 @@
     Status,
     StatusRequest,
 )
-from marlbend.wire.rpc import Handlers, start_server
+from marlbend.homes.wire.rpc import Handlers, start_server
+from marlbend.observe.metrics import Metrics, time_decisions
+from marlbend.options import Settings
+from marlbend.platform.client import Platform
+from marlbend.sockets import (
+    make_sender,
+    open_socket,
+    start_reading,
+    start_reading_senders,
+)
 
 __all__ = ('SLOT_COUNT', 'serve')
 
@@ -150,4 +150,3 @@
         settings.ports.admin,
         Handlers(on_status, on_hand_over, on_snapshot),
     )
-
--- /dev/null
+++ b/marlbend/homes/flows/__init__.py
@@ -0,0 +1,6 @@
+"""Hold flows and choose their upstreams."""
+
+from marlbend.homes.flows.choice import choose_default, choose_upstream
+from marlbend.homes.flows.table import FlowTable, Timeouts
+
+__all__ = ('FlowTable', 'Timeouts', 'choose_default', 'choose_upstream')
--- a/marlbend/flows/handover.py
+++ b/marlbend/homes/flows/handover.py
@@ -8,9 +8,9 @@
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Iterator, Sequence
 
-from marlbend.config import ActiveConfig, Service
-from marlbend.flows.choice import choose_default
-from marlbend.flows.table import (
+from marlbend.homes.active import ActiveConfig, Service
+from marlbend.homes.flows.choice import choose_default
+from marlbend.homes.flows.table import (
     FlowTable,
     entry_phase,
     entry_upstream,
@@ -19,8 +19,8 @@
     record_flow,
     remove_flow,
 )
-from marlbend.members import Member
-from marlbend.wire.flows import FlowGroup
+from marlbend.homes.members import Member
+from marlbend.homes.wire.flows import FlowGroup
 
 __all__ = (
     'HomeOf',
--- a/marlbend/flows/replicas.py
+++ b/marlbend/homes/flows/replicas.py
@@ -11,9 +11,9 @@
 from collections.abc import Callable, Iterator
 from typing import Final, final
 
-from marlbend.config import ActiveConfig
-from marlbend.flows.table import ESTABLISHED, FlowTable, record_flow
-from marlbend.wire.copies import Copies
+from marlbend.homes.active import ActiveConfig
+from marlbend.homes.flows.table import ESTABLISHED, FlowTable, record_flow
+from marlbend.homes.wire.copies import Copies
 
 __all__ = ('Replicas', 'adopt_orphans', 'count_replicas', 'take_copies')
 
--- a/marlbend/platform/follow.py
+++ b/marlbend/homes/follow.py
@@ -13,7 +13,7 @@
 
 from marlbend.errors import MarlbendError
 from marlbend.events import Event, emit
-from marlbend.platform.client import Platform, StoredObject
+from marlbend.platform.client import Platform, StoredBody
 
 __all__ = ('follow_object',)
 
@@ -35,7 +35,7 @@
 async def follow_object(
     platform: Platform,
     path: tuple[str, str],
-    take: Callable[[StoredObject], None],
+    take: Callable[[StoredBody], None],
     random: Random,
 ) -> None:
     """Give each new version of the object to `take`, until cancelled."""
@@ -56,8 +56,8 @@
 
 def _advance(
     progress: _Progress,
-    stored: StoredObject | None,
-    take: Callable[[StoredObject], None],
+    stored: StoredBody | None,
+    take: Callable[[StoredBody], None],
 ) -> bool:
     if stored is None:
         return True
--- a/marlbend/platform/instances.py
+++ b/marlbend/homes/instances.py
@@ -8,8 +8,8 @@
 from marlbend import messages
 from marlbend.errorcodes import ErrorKind
 from marlbend.errors import MarlbendError
-from marlbend.members.member import Member, MemberState
-from marlbend.platform.client import StoredObject
+from marlbend.homes.members.member import Member, MemberState
+from marlbend.platform.client import StoredBody
 
 __all__ = ('INSTANCES_PATH', 'ListedInstance', 'decode_instances')
 
@@ -35,7 +35,7 @@
     instances: tuple[ListedInstance, ...] = ()
 
 
-def decode_instances(stored: StoredObject) -> list[Member]:
+def decode_instances(stored: StoredBody) -> list[Member]:
     """Return the members listed; raise MESSAGE_MALFORMED."""
     if not stored.version:
         return []
--- a/marlbend/members/__init__.py
+++ b/marlbend/homes/members/__init__.py
@@ -1,13 +1,13 @@
 """Know the instances of the fleet and the home of each flow."""
 
-from marlbend.members.fleet import (
+from marlbend.homes.members.fleet import (
     Fleet,
     apply_member,
     live_members,
     note_listed,
 )
-from marlbend.members.homes import earlier_homes, heir_of, home_of
-from marlbend.members.member import Member, MemberState
+from marlbend.homes.members.homes import earlier_homes, heir_of, home_of
+from marlbend.homes.members.member import Member, MemberState
 
 __all__ = (
     'Fleet',
--- a/marlbend/members/answer.py
+++ b/marlbend/homes/members/answer.py
@@ -6,10 +6,10 @@
 import msgspec
 
 from marlbend.events import Event, emit
-from marlbend.members.fleet import apply_member
-from marlbend.members.member import Member
-from marlbend.members.news import pick_news
-from marlbend.members.prober import (
+from marlbend.homes.members.fleet import apply_member
+from marlbend.homes.members.member import Member
+from marlbend.homes.members.news import pick_news
+from marlbend.homes.members.prober import (
     Address,
     Errand,
     Letter,
@@ -19,7 +19,7 @@
     make_ack,
     make_ping,
 )
-from marlbend.wire.liveness import Ack, Message, Ping, PingRequest
+from marlbend.homes.wire.liveness import Ack, Message, Ping, PingRequest
 
 __all__ = ('receive_message',)
 
--- a/marlbend/members/fleet.py
+++ b/marlbend/homes/members/fleet.py
@@ -9,15 +9,15 @@
 from collections.abc import Iterable
 from typing import Final, final
 
-from marlbend.config.active import CHASE_SECONDS
 from marlbend.hashing import hash_text
-from marlbend.members.member import (
+from marlbend.homes.active import CHASE_SECONDS
+from marlbend.homes.members.member import (
     DEPARTED_STATES,
     HOME_STATES,
     Member,
     MemberState,
 )
-from marlbend.members.slots import (
+from marlbend.homes.members.slots import (
     SlotTable,
     add_member,
     remove_member,
--- a/marlbend/members/homes.py
+++ b/marlbend/homes/members/homes.py
@@ -10,10 +10,10 @@
 from collections.abc import Iterator
 from typing import Final
 
-from marlbend.config import Service
-from marlbend.members.fleet import Fleet, view_mark
-from marlbend.members.member import Member, MemberState
-from marlbend.members.slots import SlotTable
+from marlbend.homes.active import Service
+from marlbend.homes.members.fleet import Fleet, view_mark
+from marlbend.homes.members.member import Member, MemberState
+from marlbend.homes.members.slots import SlotTable
 
 __all__ = (
     'earlier_homes',
--- a/marlbend/members/news.py
+++ b/marlbend/homes/members/news.py
@@ -8,8 +8,8 @@
 import math
 from typing import Final, final
 
-from marlbend.members.fleet import Fleet
-from marlbend.members.member import Member
+from marlbend.homes.members.fleet import Fleet
+from marlbend.homes.members.member import Member
 
 __all__ = ('News', 'add_news', 'pick_news')
 
--- a/marlbend/members/probe.py
+++ b/marlbend/homes/members/probe.py
@@ -17,9 +17,9 @@
 import msgspec
 
 from marlbend.events import Event, emit
-from marlbend.members.member import Member, MemberState
-from marlbend.members.news import pick_news
-from marlbend.members.prober import (
+from marlbend.homes.members.member import Member, MemberState
+from marlbend.homes.members.news import pick_news
+from marlbend.homes.members.prober import (
     SUSPICION_SECONDS,
     Letter,
     Probe,
@@ -30,7 +30,7 @@
     make_ping,
     shuffled_names,
 )
-from marlbend.wire.liveness import PingRequest
+from marlbend.homes.wire.liveness import PingRequest
 
 __all__ = ('step',)
 
--- a/marlbend/members/prober.py
+++ b/marlbend/homes/members/prober.py
@@ -1,7 +1,8 @@
 """Hold what an instance needs to see the others, and make its messages.
 
-`marlbend.members.probe` pings the others, `marlbend.members.answer` takes what
-they send; both work on the state defined here.
+`marlbend.homes.members.probe` pings the others,
+`marlbend.homes.members.answer` takes what they send; both work on the state
+defined here.
 """
 
 from collections.abc import Iterator
@@ -10,10 +11,10 @@
 
 import msgspec
 
-from marlbend.members.fleet import Fleet, apply_member
-from marlbend.members.member import HOME_STATES, Member, MemberState
-from marlbend.members.news import News, add_news, pick_news
-from marlbend.wire.liveness import Ack, Message, Ping
+from marlbend.homes.members.fleet import Fleet, apply_member
+from marlbend.homes.members.member import HOME_STATES, Member, MemberState
+from marlbend.homes.members.news import News, add_news, pick_news
+from marlbend.homes.wire.liveness import Ack, Message, Ping
 
 __all__ = (
     'SUSPICION_SECONDS',
--- a/marlbend/packets/decide.py
+++ b/marlbend/homes/packets/decide.py
@@ -2,14 +2,14 @@
 
 from collections.abc import Callable
 
-from marlbend.config import Service
-from marlbend.flows import choose_default, choose_upstream
-from marlbend.flows.table import HALF_OPEN, mark_departure, record_flow
-from marlbend.packets.header import ACK, SYN, packet_flags
-from marlbend.packets.outcomes import Outcome
-from marlbend.packets.state import PacketPath
-from marlbend.upstreams import Upstream
-from marlbend.upstreams.load import count_arrival, others_share
+from marlbend.homes.active import Service
+from marlbend.homes.flows import choose_default, choose_upstream
+from marlbend.homes.flows.table import HALF_OPEN, mark_departure, record_flow
+from marlbend.homes.packets.header import ACK, SYN, packet_flags
+from marlbend.homes.packets.outcomes import Outcome
+from marlbend.homes.packets.state import PacketPath
+from marlbend.homes.upstreams import Upstream
+from marlbend.homes.upstreams.load import count_arrival, others_share
 
 __all__ = ('decide', 'forward')
 
--- a/marlbend/packets/path.py
+++ b/marlbend/homes/packets/path.py
@@ -24,9 +24,9 @@
 from collections.abc import Callable
 from typing import Final
 
-from marlbend.config import Service
-from marlbend.flows.referrals import find_referral, note_referral
-from marlbend.flows.table import (
+from marlbend.homes.active import Service
+from marlbend.homes.flows.referrals import find_referral, note_referral
+from marlbend.homes.flows.table import (
     CLOSING,
     ESTABLISHED,
     HALF_OPEN,
@@ -35,11 +35,11 @@
     set_phase,
     touch_flow,
 )
-from marlbend.members import Member, earlier_homes, home_of
-from marlbend.members.homes import is_useful
-from marlbend.members.member import DEPARTED_STATES
-from marlbend.packets.decide import decide, forward
-from marlbend.packets.header import (
+from marlbend.homes.members import Member, earlier_homes, home_of
+from marlbend.homes.members.homes import is_useful
+from marlbend.homes.members.member import DEPARTED_STATES
+from marlbend.homes.packets.decide import decide, forward
+from marlbend.homes.packets.header import (
     FIN,
     RST,
     SYN,
@@ -48,9 +48,9 @@
     judge_packet,
     packet_flags,
 )
-from marlbend.packets.outcomes import Outcome
-from marlbend.packets.state import Address, PacketPath
-from marlbend.wire.relay import (
+from marlbend.homes.packets.outcomes import Outcome
+from marlbend.homes.packets.state import Address, PacketPath
+from marlbend.homes.wire.relay import (
     ENTRY,
     FRAME_BYTES,
     Frame,
--- a/marlbend/packets/state.py
+++ b/marlbend/homes/packets/state.py
@@ -3,12 +3,12 @@
 from collections.abc import Callable
 from typing import Final, final
 
-from marlbend.config import ActiveConfig
-from marlbend.flows import FlowTable
-from marlbend.flows.referrals import Referrals, turn_referrals
-from marlbend.members import Fleet
-from marlbend.packets.outcomes import Outcome
-from marlbend.upstreams import Loads
+from marlbend.homes.active import ActiveConfig
+from marlbend.homes.flows import FlowTable
+from marlbend.homes.flows.referrals import Referrals, turn_referrals
+from marlbend.homes.members import Fleet
+from marlbend.homes.packets.outcomes import Outcome
+from marlbend.homes.upstreams import Loads
 
 __all__ = ('Address', 'PacketPath', 'Senders', 'keep_time')
 
--- a/marlbend/observe/status.py
+++ b/marlbend/homes/status.py
@@ -6,21 +6,19 @@
 from typing import Final
 
 from marlbend import VERSION
-from marlbend.daemon.state import Instance
-from marlbend.flows.replicas import count_replicas
-from marlbend.flows.table import (
+from marlbend.homes.daemon.state import Instance
+from marlbend.homes.flows.replicas import count_replicas
+from marlbend.homes.flows.table import (
     CLOSING,
     ESTABLISHED,
     HALF_OPEN,
     entry_departs,
 )
-from marlbend.members import Fleet
-from marlbend.observe.metrics import (
-    processor_seconds,
-    resident_bytes,
-)
-from marlbend.packets import Outcome, PacketPath
-from marlbend.wire.messages import MemberStatus, Status
+from marlbend.homes.members import Fleet
+from marlbend.homes.packets import Outcome, PacketPath
+from marlbend.homes.wire.messages import MemberStatus, Status
+from marlbend.observe.memory import resident_bytes
+from marlbend.observe.metrics import processor_seconds
 
 __all__ = ('describe_instance',)
 
--- a/marlbend/upstreams/load.py
+++ b/marlbend/homes/upstreams/load.py
@@ -11,7 +11,7 @@
 from collections.abc import Mapping, Sequence
 from typing import Final, final
 
-from marlbend.upstreams.pool import Upstream
+from marlbend.homes.upstreams.pool import Upstream
 
 __all__ = (
     'Loads',
--- /dev/null
+++ b/marlbend/homes/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Carry the inner protocol: relayed packets, messages, calls."""
--- a/marlbend/wire/control.py
+++ b/marlbend/homes/wire/control.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from marlbend.wire.copies import Copies, LoadReport
-from marlbend.wire.liveness import Ack, Ping, PingRequest
+from marlbend.homes.wire.copies import Copies, LoadReport
+from marlbend.homes.wire.liveness import Ack, Ping, PingRequest
 
 __all__ = ('ControlMessage', 'decode', 'encode')
 
--- a/marlbend/wire/copies.py
+++ b/marlbend/homes/wire/copies.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from marlbend.wire.flows import FlowGroup
+from marlbend.homes.wire.flows import FlowGroup
 
 __all__ = ('Copies', 'LoadReport', 'ServiceLoad')
 
--- a/marlbend/wire/liveness.py
+++ b/marlbend/homes/wire/liveness.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from marlbend.members.member import Member
+from marlbend.homes.members.member import Member
 
 __all__ = ('Ack', 'Message', 'Ping', 'PingRequest')
 
--- a/marlbend/wire/messages.py
+++ b/marlbend/homes/wire/messages.py
@@ -7,8 +7,8 @@
 import msgspec
 
 from marlbend.config import Configuration
-from marlbend.members.member import Member
-from marlbend.wire.flows import FlowGroup
+from marlbend.homes.members.member import Member
+from marlbend.homes.wire.flows import FlowGroup
 
 __all__ = (
     'HandOver',
--- a/marlbend/wire/rpc.py
+++ b/marlbend/homes/wire/rpc.py
@@ -1,7 +1,8 @@
 """Carry typed messages over gRPC with MessagePack as the codec.
 
 gRPC lets each method bring its own serializer, so the messages of
-`marlbend.wire.messages` travel as they are and no generated code is needed.
+`marlbend.homes.wire.messages` travel as they are and no generated code is
+needed.
 """
 
 from collections.abc import Awaitable, Callable
@@ -13,7 +14,7 @@
 from marlbend import messages as texts
 from marlbend.errorcodes import ErrorKind
 from marlbend.errors import MarlbendError
-from marlbend.wire.messages import (
+from marlbend.homes.wire.messages import (
     HandOver,
     HandOverReply,
     Snapshot,
--- a/marlbend/http/client.py
+++ b/marlbend/http/client.py
@@ -48,17 +48,31 @@
         self.complete = True
 
 
+@final
+class _Stream:
+    """Hold both directions of an open connection."""
+
+    __slots__ = ('reader', 'writer')
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self.reader = reader
+        self.writer = writer
+
+
 @final
 class Connection:
     """Keep one connection to a server, opened when first needed."""
 
-    __slots__ = ('_address', '_reader', '_writer')
+    __slots__ = ('_address', '_stream')
 
     def __init__(self, address: tuple[str, int]) -> None:
         """Prepare for calls to an address and port."""
         self._address = address
-        self._reader: asyncio.StreamReader | None = None
-        self._writer: asyncio.StreamWriter | None = None
+        self._stream: _Stream | None = None
 
     async def call(
         self,
@@ -80,10 +94,9 @@
 
     def close(self) -> None:
         """Close the connection; the next call opens another."""
-        if self._writer is not None:
-            self._writer.transport.abort()
-        self._reader = None
-        self._writer = None
+        if self._stream is not None:
+            self._stream.writer.transport.abort()
+        self._stream = None
 
     async def _exchange(
         self,
@@ -91,15 +104,15 @@
         path: str,
         body: bytes,
     ) -> Answer:
-        reader, writer = await self._connect()
+        stream = await self._connect()
         head = _HEAD.format(
             method=method, path=path, host=self._address[0], size=len(body)
         )
-        writer.write(head.encode() + body)
+        stream.writer.write(head.encode() + body)
         collector = _Collector()
         parser = httptools.HttpResponseParser(collector)
         while not collector.complete:
-            chunk = await reader.read(_CHUNK_BYTES)
+            chunk = await stream.reader.read(_CHUNK_BYTES)
             if not chunk:
                 raise EOFError
             parser.feed_data(chunk)
@@ -107,15 +120,12 @@
             self.close()
         return Answer(parser.get_status_code(), bytes(collector.body))
 
-    async def _connect(
-        self,
-    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-        if self._reader is None or self._writer is None:
+    async def _connect(self) -> '_Stream':
+        if self._stream is None:
             async with asyncio.timeout(CONNECT_SECONDS):
-                self._reader, self._writer = await asyncio.open_connection(
-                    *self._address
-                )
-        return self._reader, self._writer
+                ends = await asyncio.open_connection(*self._address)
+            self._stream = _Stream(*ends)
+        return self._stream
 
 
 def _unreachable(address: tuple[str, int], error: Exception) -> MarlbendError:
--- a/marlbend/http/server.py
+++ b/marlbend/http/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Mapping
+from types import MappingProxyType
 from typing import Final, final
 
 import httptools
@@ -10,7 +11,9 @@
 
 _CHUNK_BYTES: Final = 16_384
 _IDLE_SECONDS: Final = 30.0
-_REASONS: Final = {200: 'OK', 404: 'Not Found', 503: 'Service Unavailable'}
+_REASONS: Final = MappingProxyType(
+    {200: 'OK', 404: 'Not Found', 503: 'Service Unavailable'}
+)
 _NOT_FOUND: Final = 404
 _HEAD: Final = (
     'HTTP/1.1 {status} {reason}\r\nContent-Type: {kind}\r\n'
--- a/marlbend/main.py
+++ b/marlbend/main.py
@@ -13,12 +13,12 @@
 # import alone takes a tenth of the start and two megabytes.
 sys.modules['ssl'] = None  # type: ignore[assignment]
 
-import asyncio  # noqa: E402
-import logging  # noqa: E402
-from typing import Final  # noqa: E402
+import asyncio
+from typing import Final
 
-from marlbend.errors import MarlbendError  # noqa: E402
-from marlbend.options import load_settings  # noqa: E402
+from marlbend.errors import MarlbendError
+from marlbend.logs import start_logging
+from marlbend.options import load_settings
 
 __all__ = ('run',)
 
@@ -57,12 +57,9 @@
 
 def _run_with(path: str) -> None:
     settings = load_settings(path)
-    logging.basicConfig(
-        level=settings.log_level,
-        format=f'%(asctime)s {settings.name} %(levelname)s %(message)s',
-    )
+    start_logging(settings.name, settings.log_level)
     if settings.cookie is None:
-        from marlbend.daemon.wiring import serve as serve_homes
+        from marlbend.homes.daemon.wiring import serve as serve_homes
 
         asyncio.run(serve_homes(settings))
     else:
--- a/marlbend/observe/__init__.py
+++ b/marlbend/observe/__init__.py
@@ -1,15 +1,5 @@
-"""Show what an instance does."""
+"""Show what an instance does.
 
-from marlbend.observe.metrics import (
-    Metrics,
-    processor_seconds,
-    resident_bytes,
-    time_decisions,
-)
-
-__all__ = (
-    'Metrics',
-    'processor_seconds',
-    'resident_bytes',
-    'time_decisions',
-)
+Nothing is re-exported: `metrics` imports the histogram library, which the
+daemon leaves out of its start where it steers by cookies.
+"""
--- a/marlbend/observe/metrics.py
+++ b/marlbend/observe/metrics.py
@@ -11,7 +11,6 @@
 __all__ = (
     'Metrics',
     'processor_seconds',
-    'resident_bytes',
     'time_decisions',
 )
 
@@ -23,7 +22,6 @@
 _HIGHEST_NANOSECONDS: Final = 1_000_000_000
 _SIGNIFICANT_DIGITS: Final = 2
 _NANOSECONDS_A_MICROSECOND: Final = 1000
-_KILOBYTE: Final = 1024
 
 
 @final
@@ -87,12 +85,3 @@
     """Return the processor time this process has used."""
     used = resource.getrusage(resource.RUSAGE_SELF)
     return used.ru_utime + used.ru_stime
-
-
-def resident_bytes() -> int:
-    """Return the memory this process holds now."""
-    with open('/proc/self/status', encoding='ascii') as status:
-        for line in status:
-            if line.startswith('VmRSS:'):
-                return int(line.split()[1]) * _KILOBYTE
-    return 0
--- a/marlbend/options.py
+++ b/marlbend/options.py
@@ -14,7 +14,14 @@
 from marlbend.errorcodes import ErrorKind
 from marlbend.errors import MarlbendError, Problem
 
-__all__ = ('CookieSettings', 'Limits', 'Ports', 'Settings', 'load_settings', 'split_endpoint')
+__all__ = (
+    'CookieSettings',
+    'Limits',
+    'Ports',
+    'Settings',
+    'load_settings',
+    'split_endpoint',
+)
 
 HIGHEST_PORT: Final = 65_535
 HIGHEST_FLOWS: Final = 4_000_000
@@ -91,7 +98,7 @@
     name: Name
     address: str
     domain: Name
-    platform: Annotated[str, msgspec.Meta(pattern='^https?://')]
+    platform: Annotated[str, msgspec.Meta(pattern=r'^http://[^:/]+:\d+$')]
     peers: tuple[str, ...] = ()
     ports: Ports = Ports()
     limits: Limits = Limits()
--- a/marlbend/platform/client.py
+++ b/marlbend/platform/client.py
@@ -1,34 +1,51 @@
-"""Speak the platform's object API.
+"""Read, watch and write single objects of the platform's store.
 
-An object has a kind, a name, a version and a JSON body.  Reads may wait for a
-version above a given one (long poll).  Writes name the version they replace,
-in `If-Match`, and fail when another write came first.
+An object has a kind, a name, a revision and a JSON body, its `spec`.  A write
+names the revision that it replaces and fails when another write came first.
 """
 
-from collections.abc import Mapping
+import re
 from typing import Final, final
 
-import aiohttp
 import msgspec
 
 from marlbend import messages
 from marlbend.errorcodes import ErrorKind
 from marlbend.errors import MarlbendError
-
-__all__ = ('Platform', 'StoredObject', 'WriteOutcome')
-
-REQUEST_TIMEOUT_SECONDS: Final = 3.0
+from marlbend.http import Answer, Connection
+from marlbend.platform.objects import StoredObject, read_changes, read_page
+
+__all__ = (
+    'Platform',
+    'StoredBody',
+    'WriteOutcome',
+    'expect_status',
+    'split_url',
+)
+
+REQUEST_SECONDS: Final = 3.0
 WATCH_SECONDS: Final = 20.0
 
 _OK: Final = 200
-_NOT_MODIFIED: Final = 304
+_CREATED: Final = 201
 _NOT_FOUND: Final = 404
-_CONFLICT: Final = 412
+_CONFLICT: Final = 409
+_GONE: Final = 410
 _SERVER_FAULT: Final = 500
+_MILLISECONDS: Final = 1000
+_URL: Final = re.compile(r'http://([^:/]+):(\d+)')
+
+
+def split_url(url: str) -> tuple[str, int]:
+    """Return address and port of `http://ADDRESS:PORT`; raise USAGE."""
+    found = _URL.fullmatch(url)
+    if found is None:
+        raise MarlbendError(ErrorKind.USAGE, messages.NOT_A_URL.format(url=url))
+    return found.group(1), int(found.group(2))
 
 
-class StoredObject(msgspec.Struct, frozen=True):
-    """Hold an object as the platform gives it; version zero is absent."""
+class StoredBody(msgspec.Struct, frozen=True):
+    """Hold what is stored under a name; version zero is absent."""
 
     version: int
     body: msgspec.Raw = msgspec.Raw(b'null')
@@ -41,38 +58,55 @@
     version: int
 
 
+class _NewMeta(msgspec.Struct, frozen=True, omit_defaults=True):
+    name: str
+    # The revision that a write replaces; absent on creation.
+    rev: int = 0
+
+
+class _NewObject(msgspec.Struct, frozen=True):
+    meta: _NewMeta
+    spec: msgspec.Raw
+
+
 @final
 class Platform:
-    """Keep the address of the platform and one connection pool."""
+    """Keep the address of the platform; each call has its own connection."""
 
-    __slots__ = ('_session', 'url')
+    __slots__ = ('_address', 'url')
 
     def __init__(self, url: str) -> None:
-        """Prepare for calls; the pool opens with the first one."""
+        """Prepare for calls; raise USAGE unless `http://ADDRESS:PORT`."""
         self.url = url.rstrip('/')
-        self._session: aiohttp.ClientSession | None = None
+        self._address = split_url(self.url)
 
-    async def read(self, kind: str, name: str) -> StoredObject:
-        """Return the current object; raise PLATFORM_UNREACHABLE."""
-        answer = await self._request('GET', self._path(kind, name))
-        return _read_object(answer, self.url)
+    async def read(self, kind: str, name: str) -> StoredBody:
+        """Return the current body; raise PLATFORM_UNREACHABLE."""
+        answer = await self._call('GET', f'/api/objects/{kind}/{name}')
+        return _read_body(answer, self.url)
 
     async def watch(
         self,
         kind: str,
         name: str,
         after: int,
-    ) -> StoredObject | None:
+    ) -> StoredBody | None:
         """Wait for a version above `after`; return nothing on time-out."""
-        path = self._path(kind, name)
-        answer = await self._request(
-            'GET',
-            f'{path}?after={after}&wait={WATCH_SECONDS}',
-            wait=WATCH_SECONDS,
-        )
-        if answer.status == _NOT_MODIFIED:
-            return None
-        return _read_object(answer, self.url)
+        if not after:
+            found = await self.read(kind, name)
+            if found.version:
+                return found
+            after = await self._find_revision(kind)
+        wait = int(WATCH_SECONDS * _MILLISECONDS)
+        path = f'/api/objects/{kind}?watch={after}&wait_ms={wait}'
+        answer = await self._call('GET', path, wait=WATCH_SECONDS)
+        if answer.status == _GONE:
+            return await self.read(kind, name)
+        changes, _ = read_changes(expect_status(answer, self.url, _OK).body)
+        for stored, deleted in reversed(changes):
+            if stored.meta.name == name and not deleted:
+                return StoredBody(stored.meta.rev, stored.spec)
+        return None
 
     async def write(
         self,
@@ -82,77 +116,69 @@
         expected: int,
     ) -> WriteOutcome:
         """Replace version `expected`; zero creates the object."""
-        condition = (
-            {'If-Match': f'"{expected}"'}
-            if expected
-            else {'If-None-Match': '*'}
+        written = _NewObject(_NewMeta(name, expected), msgspec.Raw(body))
+        path = f'/api/objects/{kind}'
+        answer = await self._call(
+            'PUT' if expected else 'POST',
+            f'{path}/{name}' if expected else path,
+            msgspec.json.encode(written),
         )
-        answer = await self._request(
-            'PUT', self._path(kind, name), body, condition
-        )
-        stored = _read_object(answer, self.url)
-        return WriteOutcome(answer.status == _OK, stored.version)
-
-    async def aclose(self) -> None:
-        """Close the connection pool."""
-        if self._session is not None:
-            await self._session.close()
-            self._session = None
+        if answer.status == _NOT_FOUND:
+            return WriteOutcome(written=False, version=0)
+        stored = _read_body(answer, self.url)
+        return WriteOutcome(answer.status != _CONFLICT, stored.version)
 
-    def _path(self, kind: str, name: str) -> str:
-        return f'{self.url}/objects/{kind}/{name}'
+    async def _find_revision(self, kind: str) -> int:
+        answer = await self._call('GET', f'/api/objects/{kind}')
+        return read_page(expect_status(answer, self.url, _OK).body)[1]
 
-    async def _request(
+    async def _call(
         self,
         method: str,
-        url: str,
-        body: bytes | None = None,
-        headers: Mapping[str, str] | None = None,
+        path: str,
+        body: bytes = b'',
         wait: float = 0,
-    ) -> '_Answer':
-        if self._session is None:
-            self._session = aiohttp.ClientSession()
-        limit = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_SECONDS + wait)
+    ) -> Answer:
+        connection = Connection(self._address)
         try:
-            async with self._session.request(
-                method, url, data=body, headers=headers, timeout=limit
-            ) as response:
-                return _Answer(response.status, await response.read())
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
-            reason = str(error) or type(error).__name__
+            return await connection.call(
+                method, path, REQUEST_SECONDS + wait, body
+            )
+        except MarlbendError as error:
             raise MarlbendError(
                 ErrorKind.PLATFORM_UNREACHABLE,
                 messages.PLATFORM_UNREACHABLE.format(
-                    url=self.url, reason=reason
+                    url=self.url, reason=error.text
                 ),
             ) from None
+        finally:
+            connection.close()
 
 
-@final
-class _Answer:
-    """Hold an HTTP answer."""
-
-    __slots__ = ('body', 'status')
+def expect_status(answer: Answer, url: str, *statuses: int) -> Answer:
+    """Return an answer of one of the statuses.
 
-    def __init__(self, status: int, body: bytes) -> None:
-        self.status = status
-        self.body = body
+    Raise PLATFORM_UNREACHABLE for a fault of the server, else
+    PLATFORM_REFUSED.
+    """
+    if answer.status in statuses:
+        return answer
+    kind = ErrorKind.PLATFORM_REFUSED
+    if answer.status >= _SERVER_FAULT:
+        kind = ErrorKind.PLATFORM_UNREACHABLE
+    text = messages.PLATFORM_REFUSED.format(status=answer.status, url=url)
+    raise MarlbendError(kind, text)
 
 
-def _read_object(answer: _Answer, url: str) -> StoredObject:
+def _read_body(answer: Answer, url: str) -> StoredBody:
     if answer.status == _NOT_FOUND:
-        return StoredObject(0)
-    if answer.status in {_OK, _CONFLICT}:
-        try:
-            return msgspec.json.decode(answer.body, type=StoredObject)
-        except msgspec.DecodeError:
-            answer.status = 0
-    kind = (
-        ErrorKind.PLATFORM_UNREACHABLE
-        if answer.status >= _SERVER_FAULT
-        else ErrorKind.PLATFORM_REFUSED
-    )
-    raise MarlbendError(
-        kind,
-        messages.PLATFORM_REFUSED.format(status=answer.status, url=url),
-    )
+        return StoredBody(0)
+    expect_status(answer, url, _OK, _CREATED, _CONFLICT)
+    try:
+        stored = msgspec.json.decode(answer.body, type=StoredObject)
+    except msgspec.DecodeError as error:
+        raise MarlbendError(
+            ErrorKind.MESSAGE_MALFORMED,
+            messages.MESSAGE_MALFORMED.format(name='object', reason=error),
+        ) from None
+    return StoredBody(stored.meta.rev, stored.spec)
--- a/marlbend/platform/header.py
+++ b/marlbend/platform/header.py
@@ -9,11 +9,14 @@
 
 from marlbend.steering.packet import Packet
 
-__all__ = ('address_packet', 'make_reset', 'read_packet')
+__all__ = ('address_packet', 'find_request_id', 'make_reset', 'read_packet')
 
 HEADER_BYTES: Final = 36
 DATA_BYTES: Final = 1200
+# Longer ids are left out of the log.
+REQUEST_ID_BYTES: Final = 80
 
+_REQUEST_ID: Final = b'X-Request-Id: '
 _SYN: Final = 1
 _RST: Final = 2
 _FIN: Final = 8
@@ -24,8 +27,10 @@
 _HOST: Final = struct.Struct('>Q')
 _ECHO_START: Final = 14
 _ECHO_END: Final = 18
-_FLOW: Final = slice(18, 30)
-_ENDPOINT: Final = slice(24, 30)
+_DESTINATION_START: Final = 24
+_SUM_START: Final = 30
+_FLOW: Final = slice(_ECHO_END, _SUM_START)
+_ENDPOINT: Final = slice(_DESTINATION_START, _SUM_START)
 _LENGTH_START: Final = 34
 _COOKIE_BYTES: Final = 4
 # flags, padding, seq, ack, echo, src, sport, dport, dst, sum, len.
@@ -82,6 +87,19 @@
     )
 
 
+def find_request_id(packet: Packet) -> str:
+    """Return the id of the request whose head a packet holds, for the log.
+
+    No decision reads a caller's data.
+    """
+    start = packet.raw.find(_REQUEST_ID, HEADER_BYTES)
+    if start < 0:
+        return ''
+    start += len(_REQUEST_ID)
+    end = packet.raw.find(b'\r\n', start, start + REQUEST_ID_BYTES)
+    return packet.raw[start:end].decode('ascii', 'replace') if end > 0 else ''
+
+
 def make_reset(packet: Packet) -> tuple[bytes, str]:
     """Return a reset for the caller of a packet, and the caller's address.
 
--- a/marlbend/platform/objects.py
+++ b/marlbend/platform/objects.py
@@ -6,12 +6,13 @@
 
 import re
 from collections.abc import Iterator
+from contextlib import suppress
 from typing import Annotated, Final
 
 import msgspec
 
-from marlbend.checking import pack_address
-from marlbend.steering.news import Topic
+from marlbend.checking import is_address, pack_address
+from marlbend.options import HIGHEST_PORT, HOUR_MILLISECONDS
 from marlbend.steering.documents import (
     Publication,
     RouteSpec,
@@ -21,25 +22,15 @@
 
 __all__ = (
     'CONFIG_NAME',
-    'KIND_BY_TOPIC',
     'Change',
     'StoredObject',
     'host_number',
-    'list_path',
     'read_changes',
     'read_page',
     'read_publication',
     'read_upstream',
-    'watch_path',
 )
 
-# Upstreams register under `servers`; `evacuations` holds an object for each
-# failure domain that the operator has taken out of service.
-KIND_BY_TOPIC: Final = {
-    Topic.CONFIGURATION: 'config',
-    Topic.UPSTREAMS: 'servers',
-    Topic.DOMAINS_OUT: 'evacuations',
-}
 CONFIG_NAME: Final = 'main'
 
 _READY: Final = 'ready'
@@ -48,9 +39,9 @@
 _HEX_DIGITS: Final = re.compile('(?:.*-)?([0-9a-fA-F]{1,16})')
 _PORT_BYTES: Final = 2
 _MILLISECONDS: Final = 1000
+_HEXADECIMAL: Final = 16
 
-_Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
-_Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=3_600_000)]
+_Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=HOUR_MILLISECONDS)]
 
 
 class _Meta(msgspec.Struct):
@@ -74,9 +65,13 @@
     deleted: bool = False
 
 
+# An object and whether it was deleted.
+ObjectChange = tuple[StoredObject, bool]
+
+
 class _Page(msgspec.Struct):
-    items: list[msgspec.Raw]
-    store_revision: int
+    found: list[msgspec.Raw] = msgspec.field(name='items')
+    store_revision: int = 0
     has_more: bool = False
 
 
@@ -126,19 +121,6 @@
     born: int = 0
 
 
-def list_path(topic: Topic, after: str) -> str:
-    """Return the path of the next page of a topic's objects."""
-    path = f'/api/objects/{KIND_BY_TOPIC[topic]}'
-    return f'{path}?after={after}' if after else path
-
-
-def watch_path(topic: Topic, revision: int, seconds: float) -> str:
-    """Return the path on which changes after a revision are waited for."""
-    kind = KIND_BY_TOPIC[topic]
-    wait = int(seconds * _MILLISECONDS)
-    return f'/api/objects/{kind}?watch={revision}&wait_ms={wait}'
-
-
 def read_page(
     body: bytes,
 ) -> tuple[list[StoredObject], int, bool]:
@@ -147,10 +129,10 @@
     Raise `msgspec.DecodeError` if the list itself cannot be read.
     """
     page = msgspec.json.decode(body, type=_Page)
-    return list(_read_objects(page.items)), page.store_revision, page.has_more
+    return list(_read_objects(page.found)), page.store_revision, page.has_more
 
 
-def read_changes(body: bytes) -> tuple[list[tuple[StoredObject, bool]], int]:
+def read_changes(body: bytes) -> tuple[list[ObjectChange], int]:
     """Return objects with whether each was deleted, and the revision."""
     changes = msgspec.json.decode(body, type=_Changes)
     found = [
@@ -178,10 +160,12 @@
     """Return an upstream's registration, or nothing if it names none."""
     try:
         raw = msgspec.json.decode(stored.spec, type=_Entry)
-        address = _read_address(raw.address)
-    except (msgspec.DecodeError, UnicodeDecodeError, ValueError):
+    except (msgspec.DecodeError, UnicodeDecodeError):
         return None
-    if raw.state not in {_READY, _DRAINING} or host_number(stored.meta.name) is None:
+    address = _read_address(raw.address)
+    if address is None or raw.state not in {_READY, _DRAINING}:
+        return None
+    if host_number(stored.meta.name) is None:
         return None
     return UpstreamEntry(
         name=stored.meta.name,
@@ -198,15 +182,14 @@
 def host_number(name: str) -> int | None:
     """Return the number by which a host knows that a packet is for it."""
     digits = _HEX_DIGITS.fullmatch(name)
-    return int(digits.group(1), 16) if digits else None
+    return int(digits.group(1), _HEXADECIMAL) if digits else None
 
 
 def _read_objects(raws: list[msgspec.Raw]) -> Iterator[StoredObject]:
     for raw in raws:
-        try:
+        # An object that cannot be read stands for nothing.
+        with suppress(msgspec.DecodeError, UnicodeDecodeError):
             yield msgspec.json.decode(raw, type=StoredObject)
-        except (msgspec.DecodeError, UnicodeDecodeError):
-            continue
 
 
 def _read_routes(raw: _Configuration) -> Iterator[RouteSpec]:
@@ -227,7 +210,9 @@
     return port.to_bytes(_PORT_BYTES) + address
 
 
-def _read_address(text: str) -> tuple[str, int]:
+def _read_address(text: str) -> tuple[str, int] | None:
     host, _, port = text.rpartition(':')
-    pack_address(host)
-    return host, msgspec.convert(int(port), type=_Port)
+    if not (is_address(host) and port.isascii() and port.isdecimal()):
+        return None
+    number = int(port)
+    return (host, number) if 0 < number <= HIGHEST_PORT else None
--- a/marlbend/steering/choice.py
+++ b/marlbend/steering/choice.py
@@ -48,21 +48,23 @@
 def _find_usable(steering: Steering, service: str) -> Iterator[Upstream]:
     same_service = steering.pool.by_service.get(service, {})
     for upstream in same_service.values():
-        entry = upstream.entry
-        if not entry.accepting or upstream.shadowed:
-            continue
-        if entry.domain in steering.domains_out:
-            continue
-        if may_open(steering, upstream):
+        if _accepts(steering, upstream) and may_open(steering, upstream):
             yield upstream
 
 
+def _accepts(steering: Steering, upstream: Upstream) -> bool:
+    entry = upstream.entry
+    if upstream.shadowed or entry.domain in steering.domains_out:
+        return False
+    return entry.accepting
+
+
 def _load(steering: Steering, upstream: Upstream) -> float:
     idle = max(upstream.flows - upstream.busy, 0)
     busy = count_busy(upstream, steering.now)
     load = (busy + IDLE_FLOW_LOAD * idle) / upstream.entry.slots
     if upstream.cold_until > steering.now:
         load = (load + 1 / upstream.entry.slots) * COLD_FACTOR
-    if upstream.entry.domain != steering.domain:
+    if upstream.entry.domain != steering.place.domain:
         load += REMOTE_MARGIN
     return load + _TIE_BREAK * steering.random.random()
--- a/marlbend/steering/cold.py
+++ b/marlbend/steering/cold.py
@@ -48,5 +48,5 @@
         far = domain != upstream.entry.domain
         return far, zlib.crc32(f'{upstream.name} {name}'.encode())
 
-    first = sorted(steering.peers, key=rank)[:SENDERS]
-    return any(name == steering.name for name, _ in first)
+    first = sorted(steering.place.peers, key=rank)[:SENDERS]
+    return any(name == steering.place.name for name, _ in first)
--- a/marlbend/steering/evidence.py
+++ b/marlbend/steering/evidence.py
@@ -48,15 +48,18 @@
 
 def handshake_timeout(steering: Steering) -> float:
     """Return how long to wait for a sign that a flow has opened, in seconds."""
-    wanted = steering.handshake + _DEVIATIONS * steering.deviation
+    known = steering.handshakes
+    wanted = known.mean + _DEVIATIONS * known.deviation
     return min(max(wanted, SHORTEST_TIMEOUT_SECONDS), LONGEST_TIMEOUT_SECONDS)
 
 
 def measure_handshake(steering: Steering, seconds: float) -> None:
     """Take one measured handshake into the estimate."""
-    error = seconds - steering.handshake
-    steering.handshake += _GAIN * error
-    steering.deviation += _DEVIATION_GAIN * (abs(error) - steering.deviation)
+    known = steering.handshakes
+    known.latencies.record(seconds)
+    error = seconds - known.mean
+    known.mean += _GAIN * error
+    known.deviation += _DEVIATION_GAIN * (abs(error) - known.deviation)
 
 
 def note_life(steering: Steering, upstream: Upstream, now: float) -> None:
@@ -97,7 +100,7 @@
     With a partition all of them fall silent at once, which shows sooner than
     on each of them alone.
     """
-    if domain == steering.domain or domain in steering.cut_since:
+    if domain == steering.place.domain or domain in steering.cut_since:
         return
     now = steering.now
     members = [
@@ -124,8 +127,7 @@
     if now < upstream.retry_at or upstream.missing_since:
         return True
     return any(
-        told.silences >= TOLD_SILENCES
-        for told in _believe(upstream, now)
+        told.silences >= TOLD_SILENCES for told in _believe(upstream, now)
     )
 
 
--- a/marlbend/steering/news.py
+++ b/marlbend/steering/news.py
@@ -113,12 +113,12 @@
     )
 
 
-def list_live(news: News, now: float) -> Iterator[tuple[str, str]]:
-    """Yield name and domain of the live instances, this one first."""
-    yield news.myself.name, news.myself.domain
+def list_live(news: News, now: float) -> Iterator[Member]:
+    """Yield the live instances, this one first."""
+    yield news.myself
     for member in news.member_by_name.values():
         if now - member.heard_at < GONE_SECONDS:
-            yield member.name, member.domain
+            yield member
 
 
 def is_due(news: News, topic: Topic, now: float) -> bool:
@@ -159,7 +159,8 @@
     for name, member in tuple(news.member_by_name.items()):
         if now - member.heard_at > FORGOTTEN_SECONDS:
             news.member_by_name.pop(name)
-    near, far = [], []
+    near: list[Member] = []
+    far: list[Member] = []
     for member in news.member_by_name.values():
         own = member.domain == news.myself.domain
         (near if own else far).append(member)
--- a/marlbend/steering/state.py
+++ b/marlbend/steering/state.py
@@ -1,15 +1,16 @@
 """Hold what decisions on packets read and write."""
 
 import enum
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from random import Random
 from typing import Final, final
 
+from marlbend.observe.latency import Latencies
 from marlbend.steering.packet import Packet
 from marlbend.steering.routes import RouteTable
 from marlbend.steering.upstreams import Upstream, UpstreamPool
 
-__all__ = ('Flow', 'Outcome', 'Steering', 'Ways')
+__all__ = ('Flow', 'Handshakes', 'Outcome', 'Place', 'Steering', 'Ways')
 
 # The handshake takes two client links and a hop between domains, about 10 ms;
 # until some have been measured the time-out allows for a slow start.
@@ -81,7 +82,8 @@
 
     `forward` sends a packet to an upstream, `reset` ends the flow of a packet
     towards its caller, `remind` calls `review_opening` for a flow after so
-    many seconds, `tell` reports a decision on a packet to the log.
+    many seconds, `tell` reports a decision on a packet, its upstream and those
+    that were sent it so far.
     """
 
     __slots__ = ('forward', 'remind', 'reset', 'tell')
@@ -91,7 +93,9 @@
         forward: Callable[[Packet, Upstream], None],
         reset: Callable[[Packet], None],
         remind: Callable[[float, bytes], None],
-        tell: Callable[[Outcome, Packet, Upstream | None], None],
+        tell: Callable[
+            [Outcome, Packet, Upstream | None, Sequence[Upstream]], None
+        ],
     ) -> None:
         """Keep the four."""
         self.forward = forward
@@ -100,32 +104,58 @@
         self.tell = tell
 
 
+@final
+class Handshakes:
+    """Estimate the seconds between an opening packet and the caller's next.
+
+    `latencies` holds them all.
+    """
+
+    __slots__ = ('deviation', 'latencies', 'mean')
+
+    def __init__(self) -> None:
+        """Start with an estimate that suits most deployments."""
+        self.mean: float = FIRST_HANDSHAKE_SECONDS
+        self.deviation: float = FIRST_HANDSHAKE_SECONDS / 2
+        self.latencies = Latencies()
+
+
+@final
+class Place:
+    """Say where an instance stands: its name and failure domain.
+
+    `peers` names the live instances, itself included, with their domains.
+    """
+
+    __slots__ = ('domain', 'name', 'peers')
+
+    def __init__(self, name: str, domain: str) -> None:
+        """Start as the only instance."""
+        self.name = name
+        self.domain = domain
+        self.peers: tuple[tuple[str, str], ...] = ((name, domain),)
+
+
 @final
 class Steering:
     """Hold the state of the decisions of one instance.
 
-    `name` and `domain` are the instance's own, `domains_out` holds those
-    that the operator took out, `cut_since` those that a partition seems to
-    have cut off.  `peers` names the live instances, itself included, with their
-    domains.  `upstreams_known` turns true with the first
-    complete list.  `handshake` and `deviation` estimate the seconds between an
-    opening packet and the caller's next.  `heard_at` is when the platform last
-    told of the upstreams, `unknown_since` when each cookie that no upstream
-    has was seen first.
+    `domains_out` holds the failure domains that the operator took out,
+    `cut_since` those that a partition seems to have cut off.
+    `upstreams_known` turns true with the first complete list, `heard_at` is
+    when the platform last told of the upstreams, and `unknown_since` when each
+    cookie that no upstream has was seen first.
     """
 
     __slots__ = (
         'counts',
         'cut_since',
-        'deviation',
-        'domain',
         'domains_out',
         'flow_by_key',
-        'handshake',
+        'handshakes',
         'heard_at',
-        'name',
         'now',
-        'peers',
+        'place',
         'pool',
         'random',
         'routes',
@@ -134,31 +164,22 @@
         'ways',
     )
 
-    def __init__(
-        self,
-        name: str,
-        domain: str,
-        ways: Ways,
-        random: Random,
-    ) -> None:
+    def __init__(self, place: Place, ways: Ways, random: Random) -> None:
         """Start without routes, upstreams and flows."""
-        self.name = name
-        self.domain = domain
+        self.place = place
         self.ways = ways
         self.random = random
         self.routes = RouteTable()
         self.pool = UpstreamPool()
         self.domains_out: set[str] = set()
         self.cut_since: dict[str, float] = {}
-        self.peers: tuple[tuple[str, str], ...] = ((name, domain),)
         self.flow_by_key: dict[bytes, Flow] = {}
         self.counts = [0 for _ in Outcome]
         self.upstreams_known = False
-        self.heard_at: float = 0
         self.unknown_since: dict[int, float] = {}
+        self.handshakes = Handshakes()
+        self.heard_at: float = 0
         self.now: float = 0
-        self.handshake: float = FIRST_HANDSHAKE_SECONDS
-        self.deviation: float = FIRST_HANDSHAKE_SECONDS / 2
 
     @property
     def ready(self) -> bool:
--- a/marlbend/steering/steer.py
+++ b/marlbend/steering/steer.py
@@ -15,46 +15,46 @@
 from marlbend.steering.cold import spend_open
 from marlbend.steering.evidence import (
     handshake_timeout,
-    measure_handshake,
-    note_life,
     note_silence,
     note_test,
     seems_dead,
 )
+from marlbend.steering.flows import (
+    drop_flow,
+    keep_flow,
+    move_flow,
+    read_signs,
+    set_busy,
+)
 from marlbend.steering.packet import Packet
 from marlbend.steering.routes import Route, pick_service
 from marlbend.steering.state import Flow, Outcome, Steering
 from marlbend.steering.upstreams import Upstream
 
-__all__ = ('make_receiver', 'review_opening', 'sweep_flows')
+__all__ = ('make_receiver', 'review_opening')
 
-# Beyond this many the estimate of load suffers and nothing else.
-FLOWS_KEPT: Final = 50_000
-IDLE_SECONDS: Final = 20.0
-# A request without an answer counts as load for this long.
-BUSY_SECONDS: Final = 2.0
 TRIED_AT_MOST: Final = 3
 # A review later than this says that the process was paused, not the upstream.
 LATE_SECONDS: Final = 0.015
-# Callers repeat data after 200 ms.
-REPEAT_SECONDS: Final = 0.15
 # A newcomer is registered before its first flow; news of it arrive within the
 # time that a silent watch takes to be noticed.
 UNKNOWN_SECONDS: Final = 4.0
 INFORMED_SECONDS: Final = 4.0
 UNKNOWN_KEPT: Final = 1_000
-# Byte positions of a flow are 32 bits wide.
-POSITIONS: Final = 1 << 32
 
 
 def make_receiver(steering: Steering) -> Callable[[Packet], None]:
     """Return the function that takes the packets of callers."""
 
     def receive(packet: Packet) -> None:
-        route = steering.routes.by_endpoint.get(packet.endpoint)
-        if not steering.ready:
+        if steering.ready:
+            steer(packet)
+        else:
             steering.counts[Outcome.DROPPED_NOT_READY] += 1
-        elif route is None:
+
+    def steer(packet: Packet) -> None:
+        route = steering.routes.by_endpoint.get(packet.endpoint)
+        if route is None:
             _refuse(steering, packet, Outcome.REFUSED_NO_ROUTE)
         elif packet.opening:
             _open_flow(steering, packet, route)
@@ -81,46 +81,48 @@
         _try_another(steering, flow)
 
 
-def sweep_flows(steering: Steering) -> None:
-    """Forget idle flows, and requests that were never answered."""
-    now = steering.now
-    for key, flow in tuple(steering.flow_by_key.items()):
-        if now - flow.seen_at > IDLE_SECONDS:
-            _drop_flow(steering, key)
-        elif flow.busy and now - flow.seen_at > BUSY_SECONDS:
-            _set_busy(flow, busy=False)
-
-
 def _refuse(steering: Steering, packet: Packet, outcome: Outcome) -> None:
     steering.counts[outcome] += 1
     steering.ways.reset(packet)
-    steering.ways.tell(outcome, packet, None)
+    steering.ways.tell(outcome, packet, None, ())
 
 
 def _open_flow(steering: Steering, packet: Packet, route: Route) -> None:
     flow = steering.flow_by_key.get(packet.flow)
-    if flow is not None and flow.opening is None:
-        steering.ways.forward(packet, flow.upstream)
-        return
-    if flow is not None:
-        _repeat_opening(steering, flow)
+    if flow is not None and packet.attempt:
+        _repeat_opening(steering, flow, packet)
         return
+    drop_flow(steering, packet.flow)
     service = pick_service(route.spec, packet.flow)
     upstream = choose_upstream(steering, service, [])
     if upstream is None:
         _refuse(steering, packet, Outcome.REFUSED_NO_UPSTREAM)
-        return
+    else:
+        _start_flow(steering, packet, upstream)
+
+
+def _start_flow(
+    steering: Steering,
+    packet: Packet,
+    upstream: Upstream,
+) -> None:
     note_test(upstream, steering.now)
-    flow = _keep_flow(steering, packet.flow, upstream)
+    flow = keep_flow(steering, packet.flow, upstream)
     flow.opening = packet
-    _set_busy(flow, busy=True)
+    set_busy(flow, busy=True)
     _send_opening(steering, flow, Outcome.OPENED)
 
 
-def _repeat_opening(steering: Steering, flow: Flow) -> None:
+def _repeat_opening(
+    steering: Steering,
+    flow: Flow,
+    packet: Packet,
+) -> None:
     """Take the caller's copy of an opening packet that was sent before."""
     now = steering.now
-    if now - flow.seen_at > handshake_timeout(steering):
+    if flow.opening is None:
+        steering.ways.forward(packet, flow.upstream)
+    elif now - flow.seen_at > handshake_timeout(steering):
         note_silence(steering, flow.upstream, flow.seen_at)
         _try_another(steering, flow)
 
@@ -129,7 +131,7 @@
     service = flow.upstream.entry.service
     upstream = choose_upstream(steering, service, flow.tried)
     if upstream is not None:
-        _move_flow(flow, upstream)
+        move_flow(flow, upstream)
         _send_opening(steering, flow, Outcome.REOPENED)
 
 
@@ -142,7 +144,7 @@
     spend_open(steering, flow.upstream)
     steering.counts[outcome] += 1
     steering.ways.forward(packet, flow.upstream)
-    steering.ways.tell(outcome, packet, flow.upstream)
+    steering.ways.tell(outcome, packet, flow.upstream, flow.tried)
     _remind(steering, flow)
 
 
@@ -165,15 +167,20 @@
         return
     flow = steering.flow_by_key.get(packet.flow)
     if flow is None:
-        flow = _keep_flow(steering, packet.flow, upstream)
-    _read_signs(steering, flow, packet, upstream)
+        flow = keep_flow(steering, packet.flow, upstream)
+    elif upstream in flow.tried and flow.opening is None:
+        # Two upstreams answered the opening packet; the first one has it.
+        upstream = flow.upstream
+    starts = read_signs(steering, flow, packet, upstream)
     if packet.size and _is_stuck(steering, upstream, route):
         _give_up(steering, packet, upstream, Outcome.RESET_SILENT)
         return
     steering.counts[Outcome.FORWARDED] += 1
     steering.ways.forward(packet, upstream)
+    if starts:
+        steering.ways.tell(Outcome.FORWARDED, packet, upstream, ())
     if packet.closing:
-        _drop_flow(steering, packet.flow)
+        drop_flow(steering, packet.flow)
 
 
 def _drop_unknown(steering: Steering, packet: Packet) -> None:
@@ -202,8 +209,8 @@
 ) -> None:
     steering.counts[outcome] += 1
     steering.ways.reset(packet)
-    steering.ways.tell(outcome, packet, upstream)
-    _drop_flow(steering, packet.flow)
+    steering.ways.tell(outcome, packet, upstream, ())
+    drop_flow(steering, packet.flow)
 
 
 def _is_stuck(steering: Steering, upstream: Upstream, route: Route) -> bool:
@@ -212,81 +219,3 @@
     A request that may run only once is never cut off on suspicion.
     """
     return route.spec.repeatable and seems_dead(steering, upstream)
-
-
-def _read_signs(
-    steering: Steering,
-    flow: Flow,
-    packet: Packet,
-    upstream: Upstream,
-) -> None:
-    """Learn from a packet whether the upstream lives and what it works on."""
-    now = steering.now
-    if flow.opening is not None:
-        if len(flow.tried) == 1:
-            measure_handshake(steering, now - flow.seen_at)
-        flow.opening = None
-        _move_flow(flow, upstream)
-        note_life(steering, upstream, now)
-    elif _is_later(packet.acknowledged, flow.acknowledged):
-        note_life(steering, upstream, now)
-        flow.sent_at = 0
-        flow.repeats = 0
-        if not packet.size:
-            _set_busy(flow, busy=False)
-    if _is_later(packet.acknowledged, flow.acknowledged) or flow.fresh:
-        flow.acknowledged = packet.acknowledged
-    flow.seen_at = now
-    if packet.size:
-        _read_data(steering, flow, packet)
-
-
-def _read_data(steering: Steering, flow: Flow, packet: Packet) -> None:
-    now = steering.now
-    if flow.fresh or _is_later(packet.sequence, flow.sequence):
-        flow.fresh = False
-        flow.sequence = packet.sequence
-        flow.sent_at = flow.sent_at or now
-        _set_busy(flow, busy=True)
-    elif flow.sent_at and now - flow.sent_at > REPEAT_SECONDS:
-        flow.repeats += 1
-        if flow.repeats == 1:
-            note_silence(steering, flow.upstream, flow.sent_at)
-
-
-def _is_later(position: int, other: int) -> bool:
-    """Compare two byte positions, which wrap at 32 bits."""
-    return 0 < (position - other) % POSITIONS < POSITIONS // 2
-
-
-def _keep_flow(steering: Steering, key: bytes, upstream: Upstream) -> Flow:
-    if len(steering.flow_by_key) >= FLOWS_KEPT:
-        _drop_flow(steering, next(iter(steering.flow_by_key)))
-    flow = Flow(upstream, steering.now)
-    upstream.flows += 1
-    steering.flow_by_key[key] = flow
-    return flow
-
-
-def _move_flow(flow: Flow, upstream: Upstream) -> None:
-    if flow.upstream is upstream:
-        return
-    busy = flow.busy
-    _set_busy(flow, busy=False)
-    flow.upstream.flows -= 1
-    flow.upstream = upstream
-    upstream.flows += 1
-    _set_busy(flow, busy=busy)
-
-
-def _drop_flow(steering: Steering, key: bytes) -> None:
-    flow = steering.flow_by_key.pop(key, None)
-    if flow is not None:
-        _set_busy(flow, busy=False)
-        flow.upstream.flows -= 1
-
-
-def _set_busy(flow: Flow, *, busy: bool) -> None:
-    if flow.busy != busy:
-        flow.busy = busy
-        flow.upstream.busy += 1 if busy else -1
--- a/marlbend/steering/upstreams.py
+++ b/marlbend/steering/upstreams.py
@@ -154,7 +154,9 @@
         if known.ended_at:
             if now - known.ended_at > ENDED_SECONDS:
                 _forget(pool, known)
-        elif known.missing_since and now - known.missing_since > MISSING_SECONDS:
+        elif (
+            known.missing_since and now - known.missing_since > MISSING_SECONDS
+        ):
             end_upstream(pool, known.name, now)
             yield known
 
--- a/marlbend/test/test_control.py
+++ b/marlbend/test/test_control.py
@@ -2,13 +2,13 @@
 
 from random import Random
 
-from marlbend.daemon.control import make_receiver
-from marlbend.members import Member, MemberState
+from marlbend.homes.daemon.control import make_receiver
+from marlbend.homes.members import Member, MemberState
+from marlbend.homes.wire.control import encode
+from marlbend.homes.wire.copies import Copies, LoadReport, ServiceLoad
+from marlbend.homes.wire.liveness import Ack, Ping
 from marlbend.test.network import Network, Node
 from marlbend.test.test_network import make_upstream
-from marlbend.wire.control import encode
-from marlbend.wire.copies import Copies, LoadReport, ServiceLoad
-from marlbend.wire.liveness import Ack, Ping
 
 STRANGER = ('10.66.0.1', 3)
 RANDOM_DATAGRAMS = 10_000
--- a/marlbend/test/test_docs.py
+++ b/marlbend/test/test_docs.py
@@ -5,7 +5,7 @@
 
 from marlbend.errorcodes import ANSWERS, ErrorKind
 from marlbend.events import Event
-from marlbend.packets import Outcome
+from marlbend.homes.packets import Outcome
 
 DOCS = pathlib.Path(__file__).parents[2] / 'docs'
 
--- a/marlbend/test/test_flows.py
+++ b/marlbend/test/test_flows.py
@@ -13,8 +13,13 @@
     find_rests,
     find_unrested,
 )
-from marlbend.flows import FlowTable, Timeouts, choose_default, choose_upstream
-from marlbend.flows.table import (
+from marlbend.homes.flows import (
+    FlowTable,
+    Timeouts,
+    choose_default,
+    choose_upstream,
+)
+from marlbend.homes.flows.table import (
     CLOSING,
     ESTABLISHED,
     HALF_OPEN,
@@ -28,15 +33,13 @@
     set_phase,
     sweep_shard,
 )
-from marlbend.members import Fleet, Member, MemberState, apply_member
-from marlbend.members.fleet import TOMBSTONE_SECONDS, forget_departed
-from marlbend.members.prober import Prober, announce, farewell
-from marlbend.packets import Outcome
-from marlbend.packets.header import ACK, FIN, SYN
-from marlbend.test.network import Network
-from marlbend.test.test_network import make_upstream
-from marlbend.upstreams import Upstream, UpstreamPool
-from marlbend.upstreams.load import (
+from marlbend.homes.members import Fleet, Member, MemberState, apply_member
+from marlbend.homes.members.fleet import TOMBSTONE_SECONDS, forget_departed
+from marlbend.homes.members.prober import Prober, announce, farewell
+from marlbend.homes.packets import Outcome
+from marlbend.homes.packets.header import ACK, FIN, SYN
+from marlbend.homes.upstreams import Upstream, UpstreamPool
+from marlbend.homes.upstreams.load import (
     Loads,
     count_arrival,
     drop_reports,
@@ -44,6 +47,8 @@
     settle_rates,
     take_report,
 )
+from marlbend.test.network import Network
+from marlbend.test.test_network import make_upstream
 
 steps = st.lists(
     st.tuples(
--- a/marlbend/test/test_network.py
+++ b/marlbend/test/test_network.py
@@ -13,16 +13,16 @@
 import pytest
 
 from marlbend.config import UpstreamSpec
-from marlbend.flows.replicas import take_copies
-from marlbend.flows.table import entry_departs, entry_upstream
-from marlbend.members import MemberState, home_of
-from marlbend.members.homes import heir_of
-from marlbend.packets import Outcome
-from marlbend.packets.header import ACK, SYN, flow_digest
+from marlbend.homes.flows.replicas import take_copies
+from marlbend.homes.flows.table import entry_departs, entry_upstream
+from marlbend.homes.members import MemberState, home_of
+from marlbend.homes.members.homes import heir_of
+from marlbend.homes.packets import Outcome
+from marlbend.homes.packets.header import ACK, SYN, flow_digest
+from marlbend.homes.wire.copies import Copies
+from marlbend.homes.wire.flows import FlowGroup
 from marlbend.test.cases import Case, read_cases
 from marlbend.test.network import Network, make_packet
-from marlbend.wire.copies import Copies
-from marlbend.wire.flows import FlowGroup
 
 DOMAINS = ('a', 'b', 'c')
 
--- a/marlbend/test/test_packets.py
+++ b/marlbend/test/test_packets.py
@@ -6,12 +6,17 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from marlbend.packets import Outcome
-from marlbend.packets.header import ACK, SYN, flow_digest, judge_packet
+from marlbend.homes.packets import Outcome
+from marlbend.homes.packets.header import ACK, SYN, flow_digest, judge_packet
+from marlbend.homes.wire.control import decode
+from marlbend.homes.wire.relay import (
+    HOP_LIMIT,
+    RelayKind,
+    find_frame,
+    read_frame,
+)
 from marlbend.test.network import Network, make_packet
 from marlbend.test.test_network import make_upstream
-from marlbend.wire.control import decode
-from marlbend.wire.relay import HOP_LIMIT, RelayKind, find_frame, read_frame
 
 RANDOM_DATAGRAMS = 10_000
 
--- a/marlbend/test/test_probe.py
+++ b/marlbend/test/test_probe.py
@@ -6,11 +6,11 @@
 
 import pytest
 
-from marlbend.members import Fleet, Member, MemberState, live_members
-from marlbend.members.answer import receive_message
-from marlbend.members.fleet import note_listed
-from marlbend.members.probe import step
-from marlbend.members.prober import (
+from marlbend.homes.members import Fleet, Member, MemberState, live_members
+from marlbend.homes.members.answer import receive_message
+from marlbend.homes.members.fleet import note_listed
+from marlbend.homes.members.probe import step
+from marlbend.homes.members.prober import (
     Address,
     Letter,
     Prober,
