--- a/marlbend/checking.py
+++ b/marlbend/checking.py
@@ -6,6 +6,7 @@
 """
 
 import socket
+import types
 from collections.abc import Iterator
 from typing import Final, TypeVar, get_args, get_origin
 
@@ -61,13 +62,13 @@
 
 def find_problems(raw: object, shape: object, path: str) -> Iterator[Problem]:
     """Yield the problems of a value against the type it should have."""
+    if isinstance(shape, types.UnionType) and isinstance(raw, dict):
+        # The one shape that is an object stands first.
+        shape = get_args(shape)[0]
     if isinstance(shape, type) and issubclass(shape, msgspec.Struct):
         yield from _check_struct(raw, shape, path)
     elif get_origin(shape) is tuple and isinstance(raw, list):
-        element_shape = get_args(shape)[0]
-        for position, element in enumerate(raw):
-            place = f'{path}[{position}]'
-            yield from find_problems(element, element_shape, place)
+        yield from _check_elements(raw, get_args(shape)[0], path)
     else:
         yield from _check_scalar(raw, shape, path)
 
@@ -121,6 +122,15 @@
             yield Problem(place, messages.FIELD_MISSING)
 
 
+def _check_elements(
+    raw: list[object],
+    shape: object,
+    path: str,
+) -> Iterator[Problem]:
+    for position, element in enumerate(raw):
+        yield from find_problems(element, shape, f'{path}[{position}]')
+
+
 def _check_scalar(raw: object, shape: object, path: str) -> Iterator[Problem]:
     try:
         msgspec.convert(raw, shape)
--- a/marlbend/edge/follow.py
+++ b/marlbend/edge/follow.py
@@ -41,7 +41,7 @@
 
 # A watch waits for this share of the age at which others read for themselves;
 # what is left is for the answer and the beats that spread it.
-WATCH_SHARE: Final = 0.6
+WATCH_SHARE: Final = 0.7
 WATCH_GRACE_SECONDS: Final = 0.5
 LIST_SECONDS: Final = 2.0
 # Changes that follow each other closely are fetched with one call.
--- a/marlbend/edge/wiring.py
+++ b/marlbend/edge/wiring.py
@@ -53,7 +53,7 @@
 LEAVE_SECONDS: Final = 2.5
 # An instance reads for itself at this share of the time in which a change has
 # to be in force; what is left is for the call.
-PATIENCE_SHARE: Final = 0.75
+PATIENCE_SHARE: Final = 0.85
 READY_PATH: Final = '/api/ready'
 METRICS_PATH: Final = '/metrics'
 _OK: Final = 200
--- a/marlbend/options.py
+++ b/marlbend/options.py
@@ -30,8 +30,10 @@
 
 Port = Annotated[int, msgspec.Meta(ge=1, le=HIGHEST_PORT)]
 Endpoint = Annotated[str, msgspec.Meta(pattern=r'^\d+(\.\d+){3}:\d+$')]
-Milliseconds = Annotated[int, msgspec.Meta(ge=1, le=HOUR_MILLISECONDS)]
-Name = Annotated[str, msgspec.Meta(pattern='^[a-z][a-z0-9-]{0,62}$')]
+Milliseconds = Annotated[float, msgspec.Meta(ge=1, le=HOUR_MILLISECONDS)]
+Name = Annotated[
+    str, msgspec.Meta(pattern='^[A-Za-z0-9][A-Za-z0-9._-]{0,126}$')
+]
 Seconds = Annotated[float, msgspec.Meta(gt=0, le=DAY_SECONDS)]
 LogLevel = Annotated[str, msgspec.Meta(pattern='^(DEBUG|INFO|WARNING|ERROR)$')]
 
--- a/marlbend/steering/__init__.py
+++ b/marlbend/steering/__init__.py
@@ -12,12 +12,13 @@
 )
 from marlbend.steering.packet import Packet
 from marlbend.steering.routes import RouteTable, publish_routes
-from marlbend.steering.state import Outcome, Steering, Ways
+from marlbend.steering.state import Outcome, Place, Steering, Ways
 from marlbend.steering.upstreams import Upstream, UpstreamPool
 
 __all__ = (
     'Outcome',
     'Packet',
+    'Place',
     'Publication',
     'RouteSpec',
     'RouteTable',
--- a/marlbend/steering/evidence.py
+++ b/marlbend/steering/evidence.py
@@ -115,7 +115,7 @@
     total = sum(count for count, _ in silences.values())
     since = min(silences[each.name][1] for each in silent)
     life_at = max(each.life_at for each in members)
-    if total >= DEAD_SILENCES and life_at < since:
+    if total >= DEAD_SILENCES and life_at <= since:
         steering.cut_since[domain] = now
 
 
--- /dev/null
+++ b/marlbend/test/edge.py
@@ -0,0 +1,201 @@
+"""Run the tasks of instances in one process, against the stand-in store."""
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+from random import Random
+
+from aiohttp.test_utils import TestServer
+
+from bench.platform import STORE_KEY, make_application
+from bench.store import Store, put_object
+from marlbend.clock import steady_seconds
+from marlbend.edge.follow import Feed, follow_topic
+from marlbend.edge.peers import Peers, make_pages, receive_beat, send_beats
+from marlbend.http import Connection, serve_pages
+from marlbend.sockets import make_sender, open_socket, start_reading_senders
+from marlbend.steering import Place, Steering, Ways
+from marlbend.steering.news import Member, News, Topic
+from marlbend.wire.beats import MemberNews
+
+__all__ = ('Fleet', 'Instance', 'until', 'with_fleet')
+
+PATIENCE = 0.6
+PORT = 6071
+
+
+class Instance:
+    """Hold one instance: what it knows, and its tasks."""
+
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        store: tuple[str, int],
+        seeds: tuple[str, ...],
+    ) -> None:
+        self.endpoint = (address, PORT)
+        ways = Ways(
+            lambda *rest: None,
+            lambda *rest: None,
+            lambda *rest: None,
+            lambda *rest: None,
+        )
+        self.steering = Steering(Place(name, 'a'), ways, Random(name))
+        told = MemberNews(name, self.endpoint, 'a', 0, fit=True)
+        self.news = News(
+            Member(told, steady_seconds()), dict.fromkeys(Topic, PATIENCE)
+        )
+        self.socket = open_socket(*self.endpoint)
+        self.peers = Peers(
+            self.news,
+            self.steering,
+            tuple((seed, PORT) for seed in seeds),
+            make_sender(self.socket, lambda: None),
+        )
+        self.connections = {topic: Connection(store) for topic in Topic}
+        self.tasks: list[asyncio.Task[None]] = []
+        self.server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Start reading, beating and following."""
+        start_reading_senders(
+            self.socket,
+            lambda datagram, sender: receive_beat(self.peers, datagram, sender),
+            lambda: None,
+        )
+        self.server = await serve_pages(self.endpoint, make_pages(self.peers))
+        feeds = (
+            Feed(topic, connection, self.steering, self.news, lambda: None)
+            for topic, connection in self.connections.items()
+        )
+        self.tasks = [asyncio.create_task(follow_topic(feed)) for feed in feeds]
+        self.tasks.append(asyncio.create_task(send_beats(self.peers)))
+
+    async def stop(self) -> None:
+        """Stop at once, without a word."""
+        if self.socket.fileno() < 0:
+            return
+        for task in (*self.tasks, *self.peers.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        asyncio.get_running_loop().remove_reader(self.socket)
+        self.socket.close()
+        for connection in self.connections.values():
+            connection.close()
+        if self.server is not None:
+            self.server.close()
+
+    @property
+    def version(self) -> int:
+        """Return the configuration in force."""
+        return self.steering.routes.version
+
+    @property
+    def upstreams(self) -> set[str]:
+        """Return the upstreams that are registered and not missing."""
+        return {
+            name
+            for name, known in self.steering.pool.by_name.items()
+            if not known.ended_at and not known.missing_since
+        }
+
+
+class Fleet:
+    """Hold a store and the instances that use it."""
+
+    def __init__(self, store: Store, address: tuple[str, int]) -> None:
+        self.store = store
+        self.address = address
+        self.instances: list[Instance] = []
+        self.version = 0
+
+    async def add(
+        self,
+        name: str,
+        *seeds: str,
+        store: tuple[str, int] | None = None,
+    ) -> Instance:
+        """Start another instance; a wrong `store` turns it away."""
+        address = f'127.9.2.{len(self.instances) + 1}'
+        instance = Instance(name, address, store or self.address, seeds)
+        self.instances.append(instance)
+        await instance.start()
+        return instance
+
+    async def put(self, kind: str, name: str, spec: object) -> None:
+        """Write an object; nothing removes it."""
+        body = None if spec is None else json.dumps(spec).encode()
+        await put_object(self.store, (kind, name), body)
+
+    async def publish(self, version: int, routes: int = 1) -> None:
+        """Write a configuration."""
+        self.version = version
+        await self.put('config', 'main', make_configuration(version, routes))
+
+    async def register(self, name: str, **changes: object) -> None:
+        """Write the registration of an upstream."""
+        await self.put('servers', name, make_registration(**changes))
+
+
+def with_fleet(work: Callable[[Fleet], Awaitable[None]]) -> None:
+    """Run `work` with a fresh store that holds one configuration."""
+
+    async def run() -> None:
+        application = make_application()
+        async with TestServer(application, host='127.0.0.1') as server:
+            address = ('127.0.0.1', int(server.port or 0))
+            fleet = Fleet(application[STORE_KEY], address)
+            await fleet.publish(3)
+            await fleet.register('i-1')
+            try:
+                async with asyncio.timeout(30):
+                    await work(fleet)
+            finally:
+                for instance in fleet.instances:
+                    await instance.stop()
+
+    asyncio.run(run())
+
+
+async def until(holds: Callable[[], bool]) -> float:
+    """Wait until something holds; return how long it took."""
+    started = steady_seconds()
+    while not holds():
+        await asyncio.sleep(0.01)
+    return steady_seconds() - started
+
+
+def make_configuration(version: int, routes: int = 1) -> dict[str, object]:
+    """Return a configuration as the operator writes it."""
+    return {
+        'version': version,
+        'routes': [
+            {
+                'name': f'r-{number}',
+                'hostname': '198.18.0.1',
+                'path_prefix': f'/{1000 + number}/',
+                'kind': 'safe',
+                'service': 'catalog',
+            }
+            for number in range(routes)
+        ],
+        'services': [{'name': 'catalog', 'max_conns': 2000}],
+        'limits': {},
+    }
+
+
+def make_registration(**changes: object) -> dict[str, object]:
+    """Return a registration as an upstream writes it."""
+    return {
+        'service': 'catalog',
+        'address': '127.0.0.1:9',
+        'zone': 'a',
+        'version': 'v1',
+        'slots': 4,
+        'state': 'ready',
+        'warmup_left_ms': 0,
+        'seq': 1,
+        'born': 5,
+        **changes,
+    }
--- /dev/null
+++ b/marlbend/test/test_edge.py
@@ -0,0 +1,229 @@
+"""Run instances against a store that fails in every way its pages name."""
+
+import asyncio
+
+from bench.store import Faults, set_faults
+from marlbend.test.edge import PATIENCE, Fleet, until, with_fleet
+
+NOBODY = ('127.0.0.1', 9)
+
+
+def test_changes_are_in_force_everywhere_by_one_reader() -> None:
+    async def work(fleet: Fleet) -> None:
+        first = await fleet.add('n1')
+        others = [
+            await fleet.add(f'n{number}', '127.9.2.1') for number in (2, 3, 4)
+        ]
+        everybody = [first, *others]
+        await until(lambda: all(each.version == 3 for each in everybody))
+        await until(lambda: all(each.upstreams for each in everybody))
+        await asyncio.sleep(2)
+        calls = fleet.store.calls
+        await fleet.publish(5)
+        await fleet.register('i-2')
+        await until(lambda: all(each.version == 5 for each in everybody))
+        await until(lambda: all(len(each.upstreams) == 2 for each in everybody))
+        # Each of four watching alone would make four calls a change.
+        assert fleet.store.calls - calls <= 8
+
+    with_fleet(work)
+
+
+def test_long_lists_come_in_pages() -> None:
+    async def work(fleet: Fleet) -> None:
+        for number in range(700):
+            await fleet.register(f'i-{number:04x}')
+        instance = await fleet.add('n1')
+        await until(lambda: len(instance.upstreams) == 701)
+
+    with_fleet(work)
+
+
+def test_many_routes_at_once() -> None:
+    async def work(fleet: Fleet) -> None:
+        instance = await fleet.add('n1')
+        other = await fleet.add('n2', '127.9.2.1')
+        await until(lambda: instance.version == other.version == 3)
+        await fleet.publish(4, routes=350)
+        took = await until(lambda: instance.version == other.version == 4)
+        assert took < 3
+        assert len(other.steering.routes.by_endpoint) == 350
+
+    with_fleet(work)
+
+
+def test_entries_of_other_writers_name_no_upstream() -> None:
+    async def work(fleet: Fleet) -> None:
+        wrong: tuple[dict[str, object], ...] = (
+            {'slots': 'four'},
+            {'slots': 0},
+            {'state': 'resting'},
+            {'service': 7},
+            {'address': 'here'},
+            {'address': '1.2.3.4:99999'},
+            {'address': '1.2.3.4:1:1'},
+            {'warmup_left_ms': -1},
+            {'born': '2020'},
+            {'zone': None},
+        )
+        for number, changes in enumerate(wrong):
+            await fleet.register(f'i-a{number}', **changes)
+        await fleet.put('servers', 'i-b1', [1, 2])
+        await fleet.put('servers', 'i-b2', 'text')
+        await fleet.put('servers', 'i-b3', {})
+        await fleet.register('zebra!')
+        instance = await fleet.add('n1')
+        await until(lambda: bool(instance.upstreams))
+        assert instance.upstreams == {'i-1'}
+        await fleet.put('servers', 'i-c1', {'service': 'catalog'})
+        await fleet.register('i-2')
+        await until(lambda: len(instance.upstreams) == 2)
+        assert instance.upstreams == {'i-1', 'i-2'}
+        # An entry that is spoiled takes its upstream out after a while.
+        await fleet.register('i-2', slots=None)
+        await until(lambda: instance.upstreams == {'i-1'})
+
+    with_fleet(work)
+
+
+def test_upstream_leaves_and_lapses() -> None:
+    async def work(fleet: Fleet) -> None:
+        await fleet.register('i-2')
+        instance = await fleet.add('n1')
+        await until(lambda: len(instance.upstreams) == 2)
+        pool = instance.steering.pool
+        await fleet.register('i-2', state='draining')
+        await until(lambda: not pool.by_name['i-2'].entry.accepting)
+        await fleet.put('servers', 'i-2', None)
+        await until(lambda: bool(pool.by_name['i-2'].ended_at))
+        await fleet.put('servers', 'i-1', None)
+        await until(lambda: bool(pool.by_name['i-1'].missing_since))
+        assert not pool.by_name['i-1'].ended_at
+        await fleet.register('i-1')
+        await until(lambda: instance.upstreams == {'i-1'})
+
+    with_fleet(work)
+
+
+def test_domain_goes_out_and_comes_back() -> None:
+    async def work(fleet: Fleet) -> None:
+        instance = await fleet.add('n1')
+        await until(lambda: instance.version == 3)
+        out = instance.steering.domains_out
+        for _ in range(2):
+            await fleet.put('evacuations', 'b', {})
+            await until(lambda: out == {'b'})
+            await fleet.put('evacuations', 'b', None)
+            await until(lambda: not out)
+
+    with_fleet(work)
+
+
+def test_silent_watch_is_noticed() -> None:
+    async def work(fleet: Fleet) -> None:
+        instance = await fleet.add('n1')
+        await until(lambda: instance.version == 3)
+        await set_faults(fleet.store, Faults(silent_watches=True))
+        await asyncio.sleep(1)
+        await set_faults(fleet.store, Faults())
+        await fleet.publish(4)
+        assert await until(lambda: instance.version == 4) < 3
+
+    with_fleet(work)
+
+
+def test_refusing_silent_and_slow_store() -> None:
+    async def work(fleet: Fleet) -> None:
+        instance = await fleet.add('n1')
+        await until(lambda: instance.version == 3)
+        faults = (
+            Faults(down=True),
+            Faults(busy=True),
+            Faults(silent=True),
+            Faults(delay_seconds=0.3),
+        )
+        for version, fault in enumerate(faults, 4):
+            await set_faults(fleet.store, fault)
+            await asyncio.sleep(0.5)
+            assert instance.upstreams == {'i-1'}
+            await fleet.publish(version)
+            await set_faults(fleet.store, Faults())
+            await until(lambda: instance.version == fleet.version)
+
+    with_fleet(work)
+
+
+def test_history_that_was_dropped_is_listed_anew() -> None:
+    async def work(fleet: Fleet) -> None:
+        instance = await fleet.add('n1')
+        await until(lambda: instance.version == 3)
+        fleet.store.history.clear()
+        await fleet.register('i-2')
+        fleet.store.history.clear()
+        await set_faults(fleet.store, Faults(forget=True))
+        await until(lambda: len(instance.upstreams) == 2)
+
+    with_fleet(work)
+
+
+def test_instance_that_is_turned_away_learns_from_another() -> None:
+    async def work(fleet: Fleet) -> None:
+        served = await fleet.add('n1')
+        refused = await fleet.add('n2', '127.9.2.1', store=NOBODY)
+        await until(lambda: refused.version == served.version == 3)
+        await until(lambda: refused.upstreams == {'i-1'})
+        await fleet.publish(4)
+        await fleet.register('i-2', state='draining')
+        await fleet.put('evacuations', 'b', {})
+        await until(lambda: refused.version == 4)
+        await until(lambda: refused.upstreams == {'i-1', 'i-2'})
+        await until(lambda: refused.steering.domains_out == {'b'})
+        assert not refused.news.myself.fit
+
+    with_fleet(work)
+
+
+def test_instance_that_starts_while_the_store_is_away_asks_a_seed() -> None:
+    async def work(fleet: Fleet) -> None:
+        first = await fleet.add('n1')
+        await until(lambda: first.steering.ready)
+        await set_faults(fleet.store, Faults(down=True))
+        second = await fleet.add('n2', '127.9.2.9', '127.9.2.1')
+        took = await until(lambda: second.steering.ready)
+        assert took < 2
+        assert second.upstreams == {'i-1'}
+
+    with_fleet(work)
+
+
+def test_another_reads_when_the_reader_dies() -> None:
+    async def work(fleet: Fleet) -> None:
+        first = await fleet.add('n1')
+        second = await fleet.add('n2', '127.9.2.1')
+        await until(lambda: first.version == second.version == 3)
+        await asyncio.sleep(0.5)
+        reader, other = first, second
+        if first.news.myself.rank > second.news.myself.rank:
+            reader, other = second, first
+        await reader.stop()
+        await fleet.publish(4)
+        assert await until(lambda: other.version == 4) < PATIENCE + 1
+
+    with_fleet(work)
+
+
+def test_older_revisions_change_nothing() -> None:
+    """A version lower than the one in force never comes into force."""
+
+    async def work(fleet: Fleet) -> None:
+        instance = await fleet.add('n1')
+        await until(lambda: instance.version == 3)
+        await fleet.publish(9)
+        await until(lambda: instance.version == 9)
+        await fleet.publish(8)
+        await fleet.register('i-2')
+        await until(lambda: len(instance.upstreams) == 2)
+        await asyncio.sleep(0.5)
+        assert instance.version == 9
+
+    with_fleet(work)
