Reload settings while serving

Change: a signal or a changed file makes the instance read its settings again; wrong ones are refused and the earlier ones stay. SIGHUP before the event loop runs is ignored, since the settings are read after it anyway.

--- a/marlbend/edge/wiring.py
+++ b/marlbend/edge/wiring.py
@@ -23,8 +23,10 @@
     send_farewell,
     spread_news,
 )
+from marlbend.edge.reload import Reloading, follow_settings, patience_of
 from marlbend.edge.status import describe, render_metrics
 from marlbend.edge.telling import make_teller
+from marlbend.errors import MarlbendError
 from marlbend.events import Event, emit
 from marlbend.http import Connection, Page, serve_pages
 from marlbend.options import CookieSettings, Settings, split_endpoint
@@ -51,64 +53,65 @@
 SWEEP_SECONDS: Final = 0.5
 # Routers notice within three polls of half a second that an instance leaves.
 LEAVE_SECONDS: Final = 2.5
-# An instance reads for itself at this share of the time in which a change has
-# to be in force; what is left is for the call.
-PATIENCE_SHARE: Final = 0.85
 READY_PATH: Final = '/api/ready'
 METRICS_PATH: Final = '/metrics'
 _OK: Final = 200
 _UNAVAILABLE: Final = 503
-_MILLISECONDS: Final = 1000
 
 
-async def serve(settings: Settings, cookie: CookieSettings) -> None:
-    """Run until a graceful shutdown has been asked for and is complete."""
+async def serve(
+    path: str,
+    settings: Settings,
+    cookie: CookieSettings,
+) -> None:
+    """Run until a graceful shutdown has been asked for and is complete.
+
+    `path` is where changed settings are read from.
+    """
     emit(Event.STARTED, name=settings.name, version=VERSION)
-    steering = _wire_steering(settings, cookie)
-    peers = _wire_peers(settings, cookie, steering)
-    stop = _catch_signals()
-    servers = await _start_servers(settings, cookie, peers, stop)
+    peers = _wire_peers(settings, cookie, _wire_steering(settings, cookie))
+    reloading = Reloading(
+        path, settings, cookie, peers, _make_feeds(settings, peers)
+    )
+    stop = _catch_signals(reloading)
+    servers = await _start_servers(reloading, stop)
     async with asyncio.TaskGroup() as group:
-        tasks = [
-            group.create_task(work) for work in _list_work(settings, peers)
-        ]
-        await _leave_when_asked(stop, peers, cookie)
+        tasks = [group.create_task(work) for work in _list_work(reloading)]
+        await _leave_when_asked(stop, reloading)
         for task in (*tasks, *peers.tasks):
             task.cancel()
     for server in servers:
         server.close()
-    emit(Event.STOPPED, flows=len(steering.flow_by_key))
+    emit(Event.STOPPED, flows=len(peers.steering.flow_by_key))
 
 
-def _catch_signals() -> asyncio.Event:
+def _catch_signals(reloading: Reloading) -> asyncio.Event:
     """Return an event that is set when the process is asked to stop."""
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, reloading.asked.set)
     return stop
 
 
-async def _leave_when_asked(
-    stop: asyncio.Event,
-    peers: Peers,
-    cookie: CookieSettings,
-) -> None:
+async def _leave_when_asked(stop: asyncio.Event, reloading: Reloading) -> None:
     """Go on forwarding until the routers send packets elsewhere."""
     await stop.wait()
     emit(Event.STOP_ASKED)
+    peers = reloading.peers
     peers.news.myself.fit = False
-    await asyncio.sleep(min(LEAVE_SECONDS, cookie.stop_seconds / 2))
+    await asyncio.sleep(min(LEAVE_SECONDS, reloading.cookie.stop_seconds / 2))
     send_farewell(peers)
 
 
 async def _start_servers(
-    settings: Settings,
-    cookie: CookieSettings,
-    peers: Peers,
+    reloading: Reloading,
     stop: asyncio.Event,
 ) -> list[asyncio.Server]:
     """Serve the routers, other instances, the tool and the collector."""
+    cookie = reloading.cookie
+    peers = reloading.peers
 
     def ready() -> Page:
         serving = peers.steering.ready and not stop.is_set()
@@ -126,21 +129,29 @@
             **make_pages(peers),
             STATUS_PATH: status,
         },
-        (settings.address, cookie.metrics_port): {METRICS_PATH: metrics},
     }
-    return [
+    servers = [
         await serve_pages(endpoint, pages)
         for endpoint, pages in pages_by_endpoint.items()
     ]
+    try:
+        servers.append(
+            await serve_pages(
+                (reloading.settings.address, cookie.metrics_port),
+                {METRICS_PATH: metrics},
+            )
+        )
+    except MarlbendError as error:
+        emit(Event.METRICS_UNAVAILABLE, error=error)
+    return servers
 
 
-def _list_work(
-    settings: Settings,
-    peers: Peers,
-) -> Iterator[Coroutine[None, None, None]]:
-    for feed in _make_feeds(settings, peers):
+def _list_work(reloading: Reloading) -> Iterator[Coroutine[None, None, None]]:
+    peers = reloading.peers
+    for feed in reloading.feeds:
         yield follow_topic(feed)
     yield send_beats(peers)
+    yield follow_settings(reloading)
     yield _sweep(peers.steering, peers.news)
 
 
@@ -165,16 +176,9 @@
     myself = Member(
         MemberNews(settings.name, endpoint, settings.domain, 0, fit=True), now
     )
-    in_force = PATIENCE_SHARE * cookie.apply_milliseconds / _MILLISECONDS
-    evacuated = PATIENCE_SHARE * cookie.domain_out_milliseconds / _MILLISECONDS
-    patience = {
-        Topic.CONFIGURATION: in_force,
-        Topic.UPSTREAMS: in_force,
-        Topic.DOMAINS_OUT: evacuated,
-    }
     control = open_socket(*endpoint)
     peers = Peers(
-        News(myself, patience),
+        News(myself, patience_of(cookie)),
         steering,
         tuple(map(split_endpoint, cookie.seeds)),
         # A beat that cannot be sent is repeated a quarter of a second later.
--- a/marlbend/events.py
+++ b/marlbend/events.py
@@ -43,6 +43,17 @@
     )
     HANDOVER_FAILED = (502, logging.WARNING, 'hand-over failed: {error}')
 
+    SETTINGS_IN_FORCE = (
+        104,
+        logging.INFO,
+        'settings reloaded; a restart is needed for {waiting}',
+    )
+    SETTINGS_REFUSED = (
+        106,
+        logging.ERROR,
+        'settings refused, the earlier ones stay: {error}',
+    )
+    METRICS_UNAVAILABLE = (107, logging.ERROR, 'no metrics: {error}')
     DOMAIN_MOVED = (210, logging.INFO, 'failure domain {domain} is {state}')
     UPSTREAM_REGISTERED = (
         220,
--- a/marlbend/http/client.py
+++ b/marlbend/http/client.py
@@ -92,6 +92,12 @@
             self.close()
             raise
 
+    def redirect(self, address: tuple[str, int]) -> None:
+        """Send the next call elsewhere."""
+        if address != self._address:
+            self._address = address
+            self.close()
+
     def close(self) -> None:
         """Close the connection; the next call opens another."""
         if self._stream is not None:
--- a/marlbend/http/server.py
+++ b/marlbend/http/server.py
@@ -7,6 +7,8 @@
 
 import httptools
 
+from marlbend.sockets import bind_error
+
 __all__ = ('Page', 'serve_pages')
 
 _CHUNK_BYTES: Final = 16_384
@@ -48,7 +50,10 @@
     address: tuple[str, int],
     pages: Mapping[str, Callable[[], Page]],
 ) -> asyncio.Server:
-    """Serve the pages by path; the connection is kept between requests."""
+    """Serve the pages by path; the connection is kept between requests.
+
+    Raise ADDRESS_IN_USE or ADDRESS_UNAVAILABLE.
+    """
 
     async def answer(
         reader: asyncio.StreamReader,
@@ -65,7 +70,10 @@
         finally:
             writer.close()
 
-    return await asyncio.start_server(answer, *address)
+    try:
+        return await asyncio.start_server(answer, *address)
+    except OSError as error:
+        raise bind_error(error, *address) from None
 
 
 async def _answer_all(
--- a/marlbend/main.py
+++ b/marlbend/main.py
@@ -14,6 +14,7 @@
 sys.modules['ssl'] = None  # type: ignore[assignment]
 
 import asyncio
+import signal
 from typing import Final
 
 from marlbend.errors import MarlbendError
@@ -27,6 +28,8 @@
 
 def run() -> None:
     """Run `marlbendd`; the exit code comes from the table of errors."""
+    # Until the event loop takes it, a request to reload must not end us.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         _run_with(_find_settings())
     except MarlbendError as error:
@@ -65,7 +68,7 @@
     else:
         from marlbend.edge.wiring import serve as serve_cookies
 
-        asyncio.run(serve_cookies(settings, settings.cookie))
+        asyncio.run(serve_cookies(path, settings, settings.cookie))
 
 
 if __name__ == '__main__':
--- a/marlbend/sockets.py
+++ b/marlbend/sockets.py
@@ -15,6 +15,7 @@
 from marlbend.errors import MarlbendError
 
 __all__ = (
+    'bind_error',
     'make_sender',
     'open_socket',
     'start_reading',
@@ -39,7 +40,7 @@
         endpoint.bind((address, port))
     except OSError as error:
         endpoint.close()
-        raise _bind_error(error, address, port) from None
+        raise bind_error(error, address, port) from None
     return endpoint
 
 
@@ -97,7 +98,8 @@
     return send_counted
 
 
-def _bind_error(error: OSError, address: str, port: int) -> MarlbendError:
+def bind_error(error: OSError, address: str, port: int) -> MarlbendError:
+    """Return ADDRESS_IN_USE or ADDRESS_UNAVAILABLE for a failed bind."""
     if error.errno == _ERRNO_IN_USE:
         return MarlbendError(
             ErrorKind.ADDRESS_IN_USE,
--- a/marlbend/test/test_daemon.py
+++ b/marlbend/test/test_daemon.py
@@ -88,6 +88,12 @@
         text = (self.folder / f'{number}.log').read_text()
         return [json.loads(line) for line in text.splitlines()]
 
+    async def wait_for_event(self, number: int, event: int) -> None:
+        """Wait until a daemon has logged an event."""
+        async with asyncio.timeout(5):
+            while event not in {line.get('event') for line in self.log(number)}:
+                await asyncio.sleep(0.02)
+
     async def add_upstream(self, name: str, service: str = 'catalog') -> None:
         """Open a socket and register it."""
         end = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -253,6 +259,25 @@
     with_stage(work)
 
 
+def test_settings_change_while_serving() -> None:
+    async def work(stage: Stage) -> None:
+        await stage.start(1)
+        place, cookie = await stage.open(1, 5000)
+        path = stage.folder / '1.json'
+        earlier = path.read_text()
+        daemon = stage.daemons[0]
+        path.write_text('{"name": 7')
+        daemon.send_signal(signal.SIGHUP)
+        await stage.wait_for_event(1, 106)
+        path.write_text(earlier.replace('"n-1"', '"n-9"'))
+        await stage.wait_for_event(1, 104)
+        stage.send(1, 5000, cookie)
+        assert await stage.receive() == (place, cookie)
+        assert daemon.returncode is None
+
+    with_stage(work)
+
+
 def test_pages_of_the_control_and_metrics_ports() -> None:
     async def work(stage: Stage) -> None:
         await stage.start(1)
