--- a/marlbend/test/test_docs.py
+++ b/marlbend/test/test_docs.py
@@ -3,6 +3,7 @@
 import pathlib
 import re
 
+from marlbend import steering
 from marlbend.errorcodes import ANSWERS, ErrorKind
 from marlbend.events import Event
 from marlbend.homes.packets import Outcome
@@ -46,11 +47,12 @@
 def test_outcomes_are_catalogued() -> None:
     rows = read_rows('outcomes.md')
     found = {row[0].strip('`') for row in rows}
-    assert found == {
+    wanted = {
         outcome.name.lower()
-        for outcome in Outcome
-        if outcome != Outcome.ACCEPTED
+        for outcome in (*Outcome, *steering.Outcome)
+        if outcome is not Outcome.ACCEPTED
     }
+    assert found == wanted
 
 
 def test_exit_codes_are_unique() -> None:
