Take no beat, name or route that cannot be

Cause: reading the change as a newcomer: a forged beat could hold an age below zero (a member that is never missed), a host name (a look-up that blocks) or a topic unknown; a name of another writer went into a query as it was; a route without an address ended the process; a page without a readable object was asked for again and again; parts of a fleet that were cut off for a minute forgot each other. Change: figures of beats are bounded, names escaped, such routes refused with the earlier ones in force, and each seed is asked about every ten seconds.

--- a/marlbend/edge/follow.py
+++ b/marlbend/edge/follow.py
@@ -132,6 +132,8 @@
         found.extend(page)
         # Changes since the first page are watched from its revision.
         revision = revision or at
+        # A page of which nothing can be read leads no further.
+        more = more and bool(page)
         after = page[-1].meta.name if page else ''
     known = feed.news.revision_by_topic[feed.topic]
     feed.history_gone = False
--- a/marlbend/edge/peers.py
+++ b/marlbend/edge/peers.py
@@ -52,6 +52,8 @@
 # Loads change with every request, which takes some ten milliseconds; four
 # beats a second cost less than 1% of a quarter of a core.
 BEAT_SECONDS: Final = 0.25
+# Each seed is asked about every ten seconds.
+SEED_CHANCE: Final = 0.025
 FETCH_SECONDS: Final = 1.0
 # An alarm reaches the rest of a larger domain with the next beats.
 ALARM_TARGETS: Final = 32
@@ -108,12 +110,17 @@
 
 
 async def send_beats(peers: Peers) -> None:
-    """Send beats to a few instances, and ask the seeds until one answers."""
+    """Send beats to a few instances, and ask the seeds.
+
+    They are asked until one answers, and one of them now and then after that:
+    parts of the fleet that were cut off for long may have forgotten each other.
+    """
+    random = peers.steering.random
     while True:
-        if not peers.news.member_by_name:
-            for seed in peers.seeds:
-                if seed != peers.news.myself.endpoint:
-                    _send(peers, seed, near=False, answer=True)
+        alone = not peers.news.member_by_name
+        for seed in peers.seeds:
+            if alone or random.random() < SEED_CHANCE:
+                _send(peers, seed, near=False, answer=True)
         spread_news(peers)
         await asyncio.sleep(BEAT_SECONDS)
 
@@ -165,6 +172,8 @@
     beat = decode_beat(datagram)
     if beat is None or beat.members[0].endpoint != sender:
         return
+    if sender == peers.news.myself.endpoint:
+        return
     now = steady_seconds()
     told = beat.members[0]
     for topic in merge_news(peers.news, beat, now):
--- a/marlbend/platform/objects.py
+++ b/marlbend/platform/objects.py
@@ -153,7 +153,12 @@
         each.name: ServiceLimits(each.max_conns, each.warmup_per_s)
         for each in raw.services
     }
-    return Publication(raw.version, tuple(_read_routes(raw)), limits)
+    try:
+        routes = tuple(_read_routes(raw))
+    except (ValueError, OverflowError):
+        # A route without an address and port.
+        return None
+    return Publication(raw.version, routes, limits)
 
 
 def read_upstream(stored: StoredObject) -> UpstreamEntry | None:
--- a/marlbend/platform/paths.py
+++ b/marlbend/platform/paths.py
@@ -1,5 +1,7 @@
 """Name the kinds of objects and the paths of calls to the store."""
 
+import re
+from collections.abc import Iterator
 from types import MappingProxyType
 from typing import Final
 
@@ -18,12 +20,16 @@
 )
 
 _MILLISECONDS: Final = 1000
+_UNSAFE: Final = re.compile('[^A-Za-z0-9._~-]')
 
 
 def list_path(topic: Topic, after: str) -> str:
     """Return the path of the next page of a topic's objects."""
     path = f'/api/objects/{KIND_BY_TOPIC[topic]}'
-    return f'{path}?after={after}' if after else path
+    if not after:
+        return path
+    escaped = _UNSAFE.sub(_escape, after)
+    return f'{path}?after={escaped}'
 
 
 def watch_path(topic: Topic, revision: int, seconds: float) -> str:
@@ -31,3 +37,17 @@
     kind = KIND_BY_TOPIC[topic]
     wait = int(seconds * _MILLISECONDS)
     return f'/api/objects/{kind}?watch={revision}&wait_ms={wait}'
+
+
+def _escape(found: re.Match[str]) -> str:
+    """Return a character as its bytes in a query.
+
+    The standard library's `urllib.parse` does the same, but is slow to import.
+    """
+    octets = found.group().encode().hex().upper()
+    return ''.join(f'%{pair}' for pair in _pairs(octets))
+
+
+def _pairs(octets: str) -> Iterator[str]:
+    for start in range(0, len(octets), 2):
+        yield octets[start : start + 2]
--- a/marlbend/test/test_edge.py
+++ b/marlbend/test/test_edge.py
@@ -2,10 +2,31 @@
 
 import asyncio
 
+import msgspec
+import pytest
+from hypothesis import given, settings, strategies
+
 from bench.store import Faults, set_faults
 from marlbend.clock import steady_seconds
+from marlbend.edge.peers import Peers, receive_beat
 from marlbend.steering.evidence import note_silence
-from marlbend.test.edge import PATIENCE, Fleet, until, with_fleet
+from marlbend.steering.news import Member, News, Topic
+from marlbend.test.edge import (
+    PATIENCE,
+    Fleet,
+    make_configuration,
+    until,
+    with_fleet,
+)
+from marlbend.test.steering import Play
+from marlbend.wire.beats import (
+    Beat,
+    MemberNews,
+    TopicNews,
+    UpstreamNews,
+    decode_beat,
+    encode_beat,
+)
 
 NOBODY = ('127.0.0.1', 9)
 
@@ -88,6 +109,34 @@
     with_fleet(work)
 
 
+def test_routes_that_cannot_be_read_leave_the_earlier_ones() -> None:
+    async def work(fleet: Fleet) -> None:
+        instance = await fleet.add('n1')
+        await until(lambda: instance.version == 3)
+        wrong = make_configuration(4)
+        route = wrong['routes']
+        assert isinstance(route, list)
+        for changes in ({'path_prefix': '/x/'}, {'hostname': 'here'}):
+            spoiled = {**wrong, 'routes': [{**route[0], **changes}]}
+            await fleet.put('config', 'main', spoiled)
+            await asyncio.sleep(0.5)
+            assert instance.version == 3
+        await fleet.publish(5)
+        await until(lambda: instance.version == 5)
+
+    with_fleet(work)
+
+
+def test_names_of_other_writers_are_escaped() -> None:
+    async def work(fleet: Fleet) -> None:
+        for number in range(600):
+            await fleet.register(f'i &?=% {number:04x}')
+        instance = await fleet.add('n1')
+        await until(lambda: len(instance.upstreams) == 1)
+
+    with_fleet(work)
+
+
 def test_upstream_leaves_and_lapses() -> None:
     async def work(fleet: Fleet) -> None:
         await fleet.register('i-2')
@@ -214,6 +263,28 @@
     with_fleet(work)
 
 
+@settings(max_examples=100, deadline=None, derandomize=True)
+@given(strategies.binary(max_size=200), strategies.integers(0, 400))
+def test_any_datagram_on_the_control_port_is_taken(
+    noise: bytes,
+    place: int,
+) -> None:
+    """Random bytes, and a beat with some of its bytes replaced."""
+    sent: list[bytes] = []
+    steering = Play().steering
+    told = MemberNews('n1', ('127.9.2.1', 1), 'a', 0, fit=True)
+    news = News(Member(told, 0), dict.fromkeys(Topic, 1.0))
+    peers = Peers(news, steering, (), lambda beat, _: sent.append(beat))
+    other = MemberNews('n2', ('127.9.2.2', 1), 'a', 5, fit=True)
+    beat = Beat((other,), (TopicNews(1, 0, 5),), (UpstreamNews(1, 2, 3, 4, 5),))
+    whole = encode_beat(beat)
+    for datagram in (noise, whole[:place] + noise + whole[place + 5 :], whole):
+        receive_beat(peers, datagram, ('127.9.2.2', 1))
+    assert 'n2' in news.member_by_name
+    for member in news.member_by_name.values():
+        assert member.heard_at <= steady_seconds()
+
+
 def test_older_revisions_change_nothing() -> None:
     """A version lower than the one in force never comes into force."""
 
@@ -250,3 +321,24 @@
         assert 'n1' not in theirs['i-2'].told_by_member
 
     with_fleet(work)
+
+
+MEMBER = ['n2', ['127.9.2.2', 1], 'a', 5, True]
+
+
+@pytest.mark.parametrize(
+    'beat',
+    (
+        [[['n2', ['127.9.2.2', 1], 'a', -9_000_000, True]]],
+        [[['n2', ['some.where', 1], 'a', 5, True]]],
+        [[['n2', ['127.9.2.2', 99_999], 'a', 5, True]]],
+        [[MEMBER], [[9, 1, 0]]],
+        [[MEMBER], [[1, 1, -5]]],
+        [[MEMBER], [], [[1, -2, 0, -1, -1]]],
+        [[]],
+    ),
+    ids=('age', 'address', 'port', 'topic', 'topic-age', 'busy', 'nobody'),
+)
+def test_beat_with_figures_that_cannot_be_is_none(beat: list[object]) -> None:
+    """A member of the future would never be missed, for one."""
+    assert decode_beat(msgspec.msgpack.encode(beat)) is None
--- a/marlbend/wire/beats.py
+++ b/marlbend/wire/beats.py
@@ -3,7 +3,7 @@
 A beat is one datagram.  Ages are milliseconds, so that clocks need not agree.
 """
 
-from typing import final
+from typing import Annotated, Final, final
 
 import msgspec
 
@@ -16,14 +16,28 @@
     'encode_beat',
 )
 
+HIGHEST_PORT: Final = 65_535
+# Topics are numbered from zero; a later version may know more of them.
+HIGHEST_TOPIC: Final = 2
+HIGHEST_COUNT: Final = 1_000_000
+
+
+_Age = Annotated[int, msgspec.Meta(ge=0)]
+# -1 stands for what never happened.
+_AgeIfAny = Annotated[int, msgspec.Meta(ge=-1)]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=HIGHEST_COUNT)]
+_Address = Annotated[str, msgspec.Meta(pattern=r'^\d{1,3}(\.\d{1,3}){3}$')]
+_Port = Annotated[int, msgspec.Meta(ge=1, le=HIGHEST_PORT)]
+_TopicNumber = Annotated[int, msgspec.Meta(ge=0, le=HIGHEST_TOPIC)]
+
 
 @final
 class TopicNews(msgspec.Struct, array_like=True, frozen=True):
     """Say up to which revision a topic is known, and how old that is."""
 
-    topic: int
+    topic: _TopicNumber
     revision: int
-    age: int
+    age: _Age
 
 
 @final
@@ -34,9 +48,9 @@
     """
 
     name: str
-    endpoint: tuple[str, int]
+    endpoint: tuple[_Address, _Port]
     domain: str
-    age: int
+    age: _Age
     fit: bool
 
 
@@ -52,13 +66,13 @@
     """
 
     cookie: int
-    busy: int
-    silences: int
-    silent_age: int
-    life_age: int
-    answers: int = 0
-    shorts: int = 0
-    avoided: int = 0
+    busy: _Count
+    silences: _Count
+    silent_age: _AgeIfAny
+    life_age: _AgeIfAny
+    answers: _Count = 0
+    shorts: _Count = 0
+    avoided: _Count = 0
 
 
 @final
