--- a/marlbend/test/test_edge.py
+++ b/marlbend/test/test_edge.py
@@ -323,7 +323,7 @@
     with_fleet(work)
 
 
-MEMBER = ['n2', ['127.9.2.2', 1], 'a', 5, True]
+MEMBER = ('n2', ('127.9.2.2', 1), 'a', 5, True)
 
 
 @pytest.mark.parametrize(
