Split the measurement of cost into three

Cause: bench cost took 64 s for forwarding, memory and control together; each is a measurement of its own now.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from bench.cost import run_cost
+from bench.cost import run_control, run_cost, run_memory
 from bench.crash import run_crash
 from bench.demo import DemoReport, run_demo
 from bench.echo import run_echo
@@ -22,10 +22,12 @@
 
 MEASUREMENTS: Final[Mapping[str, Measurement]] = MappingProxyType(
     {
+        'control': run_control,
         'cost': run_cost,
         'crash': run_crash,
         'demo': run_demo,
         'echo': run_echo,
+        'memory': run_memory,
         'planned': run_planned,
         'steady': run_steady,
     }
