Reset no flow whose own data was answered, nor while often wrong

Change: a flow is reset on suspicion only after its own data was repeated, by an instance that saw silence itself and another, and that was refuted less than three times within 5 s. Believing half of a domain without own silence is gone.

--- a/marlbend/steering/evidence.py
+++ b/marlbend/steering/evidence.py
@@ -59,6 +59,7 @@
         upstream.signs.silences
         and upstream.signs.life_at > upstream.signs.silent_since
     ):
+        steering.place.refuted.append(steering.now)
         upstream.signs.silences = 0
         upstream.signs.silent_since = 0
         upstream.signs.retry_at = 0
--- a/marlbend/steering/state.py
+++ b/marlbend/steering/state.py
@@ -1,6 +1,7 @@
 """Hold what decisions on packets read and write."""
 
 import enum
+from collections import deque
 from collections.abc import Callable, Sequence
 from random import Random
 from typing import Final, final
@@ -25,6 +26,7 @@
 # until some have been measured the time-out allows for a slow start.
 FIRST_HANDSHAKE_SECONDS: Final = 0.02
 FIRST_TEST_SECONDS: Final = 0.5
+REFUTED_KEPT: Final = 8
 
 
 @enum.unique
@@ -176,15 +178,17 @@
     """Say where an instance stands: its name and failure domain.
 
     `peers` names the live instances, itself included, with their domains.
+    `refuted` is when signs of life last proved this one wrong about upstreams.
     """
 
-    __slots__ = ('domain', 'name', 'peers')
+    __slots__ = ('domain', 'name', 'peers', 'refuted')
 
     def __init__(self, name: str, domain: str) -> None:
         """Start as the only instance."""
         self.name = name
         self.domain = domain
         self.peers: tuple[tuple[str, str], ...] = ((name, domain),)
+        self.refuted: deque[float] = deque(maxlen=REFUTED_KEPT)
 
 
 @final
--- a/marlbend/steering/steer.py
+++ b/marlbend/steering/steer.py
@@ -172,7 +172,7 @@
         # Two upstreams answered the opening packet; the first one has it.
         upstream = flow.upstream
     starts = read_signs(steering, flow, packet, upstream)
-    if packet.size and _is_stuck(steering, upstream, route):
+    if flow.repeats and _is_stuck(steering, upstream, route):
         _give_up(steering, packet, upstream, Outcome.RESET_SILENT)
         return
     steering.counts[Outcome.FORWARDED] += 1
@@ -216,6 +216,7 @@
 def _is_stuck(steering: Steering, upstream: Upstream, route: Route) -> bool:
     """Tell whether a caller does better to open another flow at once.
 
-    A request that may run only once is never cut off on suspicion.
+    A request that may run only once is never cut off on suspicion, and no flow
+    whose own data was not left unanswered.
     """
     return route.spec.repeatable and seems_dead(steering, upstream)
--- a/marlbend/steering/verdicts.py
+++ b/marlbend/steering/verdicts.py
@@ -1,8 +1,8 @@
 """Decide which upstreams to avoid and which flows to give up.
 
 One instance may be wrong: its own link may be choked.  So a flow is given up
-only where this instance saw silence itself, lately, and another instance of the
-domain saw it too, or where half of the domain did.  Others reach the
+only where this instance saw silence itself, lately, another instance of the
+domain saw it too, and this one was seldom wrong of late.  Others reach the
 upstream on other paths, so of them only those of its own domain count.
 """
 
@@ -29,8 +29,10 @@
 TOLD_SECONDS: Final = 1.0
 # One lost datagram of another instance is no reason to avoid an upstream.
 TOLD_SILENCES: Final = 2
-# Without a silence of its own an instance believes so many others.
-TOLD_WITNESSES: Final = 2
+# An instance whose accusations were refuted so often within this time gives up
+# no flow; lost datagrams alone refute about one in ten seconds.
+DOUBT_SECONDS: Final = 5.0
+DOUBT_REFUTED: Final = 3
 
 
 @final
@@ -100,11 +102,13 @@
 
 def seems_dead(steering: Steering, upstream: Upstream) -> bool:
     """Tell whether there is reason enough to give up open flows."""
+    if _doubts_itself(steering):
+        return False
     now = steering.now
     cut = steering.cut_by_domain.get(upstream.entry.domain)
     if cut is not None and now - cut.seen_at < FRESH_SECONDS:
         return now - cut.since > CUT_SECONDS
-    if not upstream.signs.silences and not upstream.told_by_member:
+    if not upstream.signs.silences:
         return False
     silence = Silence(upstream, now)
     if silence.flows < DEAD_SILENCES:
@@ -124,20 +128,26 @@
 
 
 def _is_witnessed(steering: Steering, silences: list[Silence]) -> bool:
-    """Tell whether enough instances of the domain saw silence.
-
-    They are this one and another, or this one if it is alone, or half of the
-    others, two at least: a flow may have come here from one of them.
-    """
+    """Tell whether this instance saw silence, and another one did too."""
+    if not any(each.own for each in silences):
+        return False
     place = steering.place
-    others = sum(
+    others = any(
         domain == place.domain and name != place.name
         for name, domain in place.peers
     )
-    told = max(each.witnesses - int(each.own) for each in silences)
-    if any(each.own for each in silences):
-        return told > 0 or not others
-    return told >= max(TOLD_WITNESSES, others / 2)
+    return not others or any(
+        each.witnesses > int(each.own) for each in silences
+    )
+
+
+def _doubts_itself(steering: Steering) -> bool:
+    """Tell whether this instance was wrong too often of late.
+
+    A choked link makes upstreams look silent that answer a little later.
+    """
+    recent = steering.now - DOUBT_SECONDS
+    return sum(at > recent for at in steering.place.refuted) >= DOUBT_REFUTED
 
 
 def _believe(upstream: Upstream, now: float) -> Iterator[Told]:
