Keep the readiness path in the adapter, and drop an unused flag

Cause: reading the whole change: a path of the platform stood in the edge. Ruled out as dead: nothing else of the new packages is unused.

--- a/marlbend/edge/wiring.py
+++ b/marlbend/edge/wiring.py
@@ -35,6 +35,7 @@
 from marlbend.platform.client import split_url
 from marlbend.platform.header import address_packet, make_reset, read_packet
 from marlbend.platform.objects import host_number
+from marlbend.platform.paths import READY_PATH
 from marlbend.sockets import (
     make_sender,
     open_socket,
@@ -55,7 +56,6 @@
 SWEEP_SECONDS: Final = 0.5
 # Routers notice within three polls of half a second that an instance leaves.
 LEAVE_SECONDS: Final = 2.5
-READY_PATH: Final = '/api/ready'
 METRICS_PATH: Final = '/metrics'
 _OK: Final = 200
 _UNAVAILABLE: Final = 503
--- a/marlbend/platform/header.py
+++ b/marlbend/platform/header.py
@@ -20,7 +20,6 @@
 _SYN: Final = 1
 _RST: Final = 2
 _FIN: Final = 8
-_ACK: Final = 16
 # flags, five bytes of padding, seq, ack, echo; what follows is kept as bytes.
 _HEAD: Final = struct.Struct('>B5xIII')
 _LENGTH: Final = struct.Struct('>H')
--- a/marlbend/platform/paths.py
+++ b/marlbend/platform/paths.py
@@ -7,7 +7,10 @@
 
 from marlbend.steering.news import Topic
 
-__all__ = ('KIND_BY_TOPIC', 'list_path', 'watch_path')
+__all__ = ('KIND_BY_TOPIC', 'READY_PATH', 'list_path', 'watch_path')
+
+# Asked by the routers; an instance that leaves answers 503.
+READY_PATH: Final = '/api/ready'
 
 # Upstreams register under `servers`; `evacuations` holds an object for each
 # failure domain that the operator has taken out of service.
