--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -15,6 +15,7 @@
 from bench.echo import run_echo
 from bench.planned import run_planned
 from bench.steady import run_steady
+from bench.ways import run_placing
 
 __all__ = ('run',)
 
@@ -28,6 +29,7 @@
         'demo': run_demo,
         'echo': run_echo,
         'memory': run_memory,
+        'placing': run_placing,
         'planned': run_planned,
         'steady': run_steady,
     }
--- a/bench/echo.py
+++ b/bench/echo.py
@@ -15,6 +15,12 @@
 import msgspec
 from aiohttp import web
 
+from bench.documents import (
+    Document,
+    describe_configuration,
+    describe_route,
+    describe_upstream,
+)
 from bench.flood import join_packets
 from bench.platform import STORE_KEY, make_application
 from bench.processes import (
@@ -135,35 +141,19 @@
 
 
 async def _publish(store: Store, version: int, size: int) -> None:
-    document = {
-        'version': version,
-        'routes': list(_make_routes(size)),
-        'services': [{'name': 'catalog'}],
-    }
+    routes = list(_make_routes(size))
+    document = describe_configuration(version, routes, {'catalog': 0})
     await _put(store, Topic.CONFIGURATION, 'main', document)
 
 
-def _make_routes(size: int) -> Iterator[dict[str, str]]:
+def _make_routes(size: int) -> Iterator[Document]:
     for number in range(size):
         high, low = divmod(number, ROUTES_A_BLOCK)
-        yield {
-            'name': f'r-{number}',
-            'hostname': f'198.18.{high}.{low}',
-            'path_prefix': '/443/',
-            'kind': 'safe',
-            'service': 'catalog',
-        }
-
-
-def _entry() -> dict[str, object]:
-    return {
-        'service': 'catalog',
-        'address': ':'.join((SINK_ADDRESS, str(TUNNEL_PORT))),
-        'zone': 'a',
-        'slots': 4,
-        'state': 'ready',
-        'born': 1,
-    }
+        yield describe_route((f'198.18.{high}.{low}', TARGET_PORT), 'catalog')
+
+
+def _entry() -> Document:
+    return describe_upstream('catalog', (SINK_ADDRESS, TUNNEL_PORT), 'a')
 
 
 def _name(number: int) -> str:
--- /dev/null
+++ b/bench/ends/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for callers and upstreams that repeat cookies, with real packets."""
--- /dev/null
+++ b/bench/ends/packets.py
@@ -0,0 +1,116 @@
+"""Build and read packets as the two ends of a flow do."""
+
+import socket
+import struct
+import zlib
+from typing import Final
+
+import msgspec
+
+__all__ = (
+    'ACK',
+    'FIN',
+    'POSITION_BITS',
+    'RST',
+    'SYN',
+    'Endpoint',
+    'FlowKey',
+    'Packet',
+    'advance',
+    'build_packet',
+    'distance',
+    'flow_key',
+    'read_packet',
+)
+
+SYN: Final = 1
+RST: Final = 2
+FIN: Final = 8
+ACK: Final = 16
+DATA_BYTES: Final = 1200
+
+# flags, padding, seq, ack, echo, src, sport, dport, dst, sum, len.
+_HEAD: Final = struct.Struct('>B5xIII4sHH4sIH')
+# Instances do not know it, so that they cannot write a packet of an end.
+_KEY: Final = b'known to both ends'
+POSITION_BITS: Final = 32
+_POSITIONS: Final = 1 << POSITION_BITS
+
+Endpoint = tuple[str, int]
+# The caller's end and the route's.
+FlowKey = tuple[Endpoint, Endpoint]
+
+
+class Packet(msgspec.Struct, frozen=True):
+    """Hold a packet; one that no end wrote so is not `genuine`."""
+
+    flags: int
+    source: Endpoint
+    target: Endpoint
+    sequence: int = 0
+    acknowledged: int = 0
+    cookie: int = 0
+    payload: bytes = b''
+    genuine: bool = True
+
+
+def build_packet(packet: Packet) -> bytes:
+    """Return a packet as its end writes it."""
+    bare = _encode(packet, 0, 0)
+    return _encode(packet, packet.cookie, _sum_of(bare))
+
+
+def read_packet(raw: bytes) -> Packet | None:
+    """Return the packet in a datagram, or nothing if it is none."""
+    if len(raw) < _HEAD.size:
+        return None
+    parts = _HEAD.unpack_from(raw)
+    packet = Packet(
+        flags=parts[0],
+        source=(socket.inet_ntoa(parts[4]), parts[5]),
+        target=(socket.inet_ntoa(parts[7]), parts[6]),
+        sequence=parts[1],
+        acknowledged=parts[2],
+        cookie=parts[3],
+        payload=raw[_HEAD.size :],
+    )
+    if _sum_of(_encode(packet, 0, 0)) == parts[8]:
+        return packet
+    return msgspec.structs.replace(packet, genuine=False)
+
+
+def flow_key(packet: Packet) -> FlowKey:
+    """Return the flow of a caller's packet."""
+    return packet.source, packet.target
+
+
+def advance(position: int, count: int) -> int:
+    """Return a byte position so much later."""
+    return (position + count) % _POSITIONS
+
+
+def distance(start: int, end: int) -> int:
+    """Return how far a position is after another one, negative if before."""
+    ahead = (end - start) % _POSITIONS
+    return ahead - _POSITIONS if ahead > _POSITIONS // 2 else ahead
+
+
+def _encode(packet: Packet, cookie: int, check: int) -> bytes:
+    head = _HEAD.pack(
+        packet.flags,
+        packet.sequence,
+        packet.acknowledged,
+        cookie,
+        socket.inet_aton(packet.source[0]),
+        packet.source[1],
+        packet.target[1],
+        socket.inet_aton(packet.target[0]),
+        check,
+        len(packet.payload),
+    )
+    return head + packet.payload
+
+
+def _sum_of(bare: bytes) -> int:
+    # A reset of an instance carries zero.
+    return zlib.crc32(_KEY + bare) or 1
--- a/marlbend/config/publish.py
+++ b/marlbend/config/publish.py
@@ -6,14 +6,13 @@
 effect even if another one followed.
 """
 
-import time
 from collections.abc import Callable
 from contextlib import suppress
 from typing import Final
 
 import msgspec
 
-from marlbend import messages
+from marlbend import clock, messages
 from marlbend.config.documents import Configuration, drain_key
 from marlbend.config.resting import find_rests, find_unrested
 from marlbend.errorcodes import ErrorKind
@@ -69,7 +68,7 @@
     by default the current one.  Raise PUBLISH_CONFLICT when another
     publication came first, SERVICE_INVALID when an address must rest.
     """
-    now = time.time()
+    now = clock.wall_seconds()
 
     def replace_services(current: Configuration) -> Configuration:
         problems = list(find_unrested(current, document.services, now))
--- a/marlbend/edge/reload.py
+++ b/marlbend/edge/reload.py
@@ -35,7 +35,13 @@
 _MILLISECONDS: Final = 1000
 # These need sockets or names that last as long as the process.
 _FIXED_SETTINGS: Final = ('name', 'address', 'domain')
-_FIXED_ENDPOINTS: Final = ('fabric', 'ready', 'control', 'metrics_port')
+_FIXED_ENDPOINTS: Final = (
+    'fabric',
+    'ready',
+    'control',
+    'advertised',
+    'metrics_port',
+)
 
 
 @final
--- a/marlbend/edge/wiring.py
+++ b/marlbend/edge/wiring.py
@@ -174,12 +174,12 @@
     cookie: CookieSettings,
     steering: Steering,
 ) -> Peers:
-    endpoint = split_endpoint(cookie.control)
+    reached_at = split_endpoint(cookie.advertised or cookie.control)
     now = steady_seconds()
     myself = Member(
-        MemberNews(settings.name, endpoint, settings.domain, 0, fit=True), now
+        MemberNews(settings.name, reached_at, settings.domain, 0, fit=True), now
     )
-    control = open_socket(*endpoint)
+    control = open_socket(*split_endpoint(cookie.control))
     peers = Peers(
         News(myself, patience_of(cookie)),
         steering,
--- a/marlbend/homes/daemon/wiring.py
+++ b/marlbend/homes/daemon/wiring.py
@@ -14,6 +14,7 @@
 
 import grpc
 
+from marlbend import clock
 from marlbend.homes.active import ActiveConfig
 from marlbend.homes.daemon.control import make_outbox, make_receiver
 from marlbend.homes.daemon.following import make_snapshot
@@ -50,6 +51,7 @@
 
 # Slots of a failure domain; the same on every instance of a deployment.
 SLOT_COUNT: Final = 1024
+_NANOSECONDS: Final = 1_000_000_000
 
 
 async def serve(settings: Settings) -> None:
@@ -103,7 +105,7 @@
         relay_port=settings.ports.relay,
         control_port=settings.ports.control,
         admin_port=settings.ports.admin,
-        incarnation=time.time_ns(),
+        incarnation=int(clock.wall_seconds() * _NANOSECONDS),
     )
 
 
--- a/marlbend/logs.py
+++ b/marlbend/logs.py
@@ -13,6 +13,8 @@
 
 import msgspec
 
+from marlbend import clock
+
 __all__ = ('JsonLines', 'start_logging')
 
 STANDARD_OUTPUT: Final = 1
@@ -67,7 +69,7 @@
 
     def _describe(self, record: logging.LogRecord) -> dict[str, object]:
         described: dict[str, object] = {
-            'at': int(record.created * _MILLISECONDS),
+            'at': int(clock.wall_seconds() * _MILLISECONDS),
             'level': record.levelname,
             'instance': self._instance,
         }
--- a/marlbend/options.py
+++ b/marlbend/options.py
@@ -72,7 +72,9 @@
 
     Endpoints are `address:port`: `fabric` takes the callers' packets, `ready`
     answers whether the instance serves, `control` answers other instances and
-    the tool.  `seeds` are control endpoints of other instances, which may be
+    the tool.  `advertised` is where others reach the control endpoint, if that
+    is elsewhere, as behind a relay; datagrams must then seem to come from
+    there.  `seeds` are control endpoints of other instances, which may be
     stale.  `metrics_port` serves counters.  `stop_seconds` is how long a
     graceful shutdown may take, `apply_milliseconds` within what time changes of
     routes and upstreams are in force, `domain_out_milliseconds` within what
@@ -82,6 +84,7 @@
     fabric: Endpoint
     ready: Endpoint
     control: Endpoint
+    advertised: Endpoint | None = None
     seeds: tuple[Endpoint, ...] = ()
     metrics_port: Port = _DEFAULT_METRICS_PORT
     stop_seconds: Seconds = 6
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,71 @@
+"""Run the soak from the command line.
+
+The last line printed is one JSON object.  The exit status is 1 if a promise
+was broken; the schedule and the logs are kept then.
+"""
+
+import argparse
+import asyncio
+import pathlib
+import shutil
+import sys
+import tempfile
+from typing import Final
+
+import msgspec
+
+from soak.run import Report, run_schedule
+from soak.schedule import Schedule, draw_schedule
+
+__all__ = ('run',)
+
+SECONDS: Final = 45.0
+SCHEDULE_NAME: Final = 'schedule.json'
+
+
+def run() -> None:
+    """Play one seed, or a schedule that was kept."""
+    arguments = _parse()
+    schedule = _find_schedule(arguments)
+    folder = pathlib.Path(tempfile.mkdtemp(prefix='marlbend-soak-'))
+    folder.joinpath(SCHEDULE_NAME).write_bytes(msgspec.json.encode(schedule))
+    report = asyncio.run(run_schedule(schedule, folder))
+    if report.findings:
+        sys.stderr.write(f'schedule and logs are kept in {folder}\n')
+        for step in schedule.steps:
+            sys.stderr.write(f'{step}\n')
+    else:
+        shutil.rmtree(folder)
+    _write(report, as_json=arguments.json)
+    sys.exit(bool(report.findings))
+
+
+def _parse() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(prog='python -m soak')
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--seconds', type=float, default=SECONDS)
+    parser.add_argument(
+        '--instances', type=int, default=0, help='by default the seed says'
+    )
+    parser.add_argument('--replay', metavar='FILE', help='a kept schedule')
+    parser.add_argument('--json', action='store_true')
+    return parser.parse_args()
+
+
+def _find_schedule(arguments: argparse.Namespace) -> Schedule:
+    if arguments.replay:
+        kept = pathlib.Path(arguments.replay).read_bytes()
+        return msgspec.json.decode(kept, type=Schedule)
+    return draw_schedule(arguments.seed, arguments.seconds, arguments.instances)
+
+
+def _write(report: Report, *, as_json: bool) -> None:
+    if not as_json:
+        for key, figure in msgspec.to_builtins(report).items():
+            sys.stdout.write(f'{key}: {figure}\n')
+    encoded = msgspec.json.encode(report).decode()
+    sys.stdout.write(f'{encoded}\n')
+
+
+if __name__ == '__main__':
+    run()
--- /dev/null
+++ b/soak/child.py
@@ -0,0 +1,35 @@
+"""Run the daemon with a time of day that the soak moves.
+
+Only the function that reads the time of day is replaced: it adds what the file
+named first holds, in seconds.  The process ends with the one that started it.
+"""
+
+import ctypes
+import pathlib
+import signal
+import sys
+import time
+from typing import Final
+
+from marlbend import clock, main
+
+__all__ = ('run',)
+
+# From <sys/prctl.h>: the signal a process gets when its parent ends.
+_PR_SET_PDEATHSIG: Final = 1
+
+
+def run() -> None:
+    """Run the daemon with the arguments after the first."""
+    ctypes.CDLL(None).prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
+    shift = pathlib.Path(sys.argv.pop(1))
+
+    def read_moved() -> float:
+        return time.time() + float(shift.read_text() or 0)
+
+    clock.wall_seconds = read_moved
+    main.run()
+
+
+if __name__ == '__main__':
+    run()
--- /dev/null
+++ b/soak/schedule.py
@@ -0,0 +1,112 @@
+"""Draw the schedule of a run from its seed.
+
+Faults come in series that overlap; the last seconds are calm, so that the
+recovery can be judged.
+"""
+
+from collections.abc import Iterator, Mapping
+from random import Random
+from types import MappingProxyType
+from typing import Final
+
+import msgspec
+
+__all__ = ('CALM_SECONDS', 'LAST_SECONDS', 'Schedule', 'Step', 'draw_schedule')
+
+# Processes start and find each other.
+FIRST_SECONDS: Final = 4.0
+# The rules give twelve seconds to recover; what follows is measured.
+RECOVERY_SECONDS: Final = 12.0
+LAST_SECONDS: Final = 4.0
+CALM_SECONDS: Final = RECOVERY_SECONDS + LAST_SECONDS
+SERIES_A_SECOND: Final = 0.5
+LONGEST_SERIES: Final = 3
+GAP_SECONDS: Final = 2.5
+FEWEST_INSTANCES: Final = 3
+MOST_INSTANCES: Final = 8
+LUCK_BITS: Final = 31
+
+# Shortest and longest duration in seconds, and how often a kind is drawn.
+_Kind = tuple[float, float, int]
+
+KINDS: Final[Mapping[str, _Kind]] = MappingProxyType(
+    {
+        'kill': (0, 0, 3),
+        'kill_many': (0, 0, 2),
+        'stop': (0, 0, 4),
+        'pause': (0.3, 5, 3),
+        'reload': (0, 0, 2),
+        'move_clock': (1, 6, 1),
+        'store_down': (0.5, 6, 2),
+        'store_busy': (0.5, 3, 1),
+        'store_slow': (1, 5, 1),
+        'store_mute': (1, 6, 2),
+        'store_forgets': (0, 0, 2),
+        'store_lapses': (1, 5, 2),
+        'store_away': (1, 6, 4),
+        'beats_lost': (1, 5, 2),
+        'packets_lost': (0.5, 4, 2),
+        'cut_domain': (0.5, 5, 2),
+        'cut_one_way': (0.5, 4, 2),
+        'crash_upstream': (0, 0, 2),
+        'restart_upstream': (0, 0, 1),
+        'pause_upstream': (0.5, 4, 2),
+        'drain_upstream': (5, 7, 3),
+        'add_upstream': (4, 8, 3),
+        'reuse_address': (3, 5, 1),
+        'spoil_entry': (1, 3, 1),
+        'crowd': (0.3, 1, 3),
+        'publish': (0, 0, 4),
+        'publish_storm': (0, 0, 1),
+        'take_domain_out': (3, 8, 2),
+    }
+)
+
+
+class Step(msgspec.Struct, frozen=True):
+    """Say what goes wrong when, for how long, and with which luck."""
+
+    at: float
+    kind: str
+    seconds: float
+    luck: int
+
+
+class Schedule(msgspec.Struct, frozen=True):
+    """Say what a run does; `seconds` is its length."""
+
+    seed: int
+    seconds: float
+    instances: int
+    steps: tuple[Step, ...]
+
+
+def draw_schedule(seed: int, seconds: float, instances: int = 0) -> Schedule:
+    """Return the schedule of a seed."""
+    random = Random(seed)
+    drawn = random.randint(FEWEST_INSTANCES, MOST_INSTANCES)
+    last = seconds - CALM_SECONDS
+    series = max(int((last - FIRST_SECONDS) * SERIES_A_SECOND), 1)
+    steps = [step for _ in range(series) for step in _draw_series(random, last)]
+    steps.sort(key=_start_of)
+    return Schedule(seed, seconds, instances or drawn, tuple(steps))
+
+
+def _draw_series(random: Random, last: float) -> Iterator[Step]:
+    kind = random.choices(
+        tuple(KINDS), [weight for _, _, weight in KINDS.values()]
+    )[0]
+    shortest, longest, _ = KINDS[kind]
+    at = random.uniform(FIRST_SECONDS, last)
+    for _ in range(random.randint(1, LONGEST_SERIES)):
+        seconds = min(random.uniform(shortest, longest), last - at)
+        yield Step(
+            round(at, 2), kind, round(seconds, 2), random.getrandbits(LUCK_BITS)
+        )
+        at += seconds + random.uniform(0, GAP_SECONDS)
+        if at > last:
+            return
+
+
+def _start_of(step: Step) -> float:
+    return step.at
