--- a/marlbend/edge/beliefs.py
+++ b/marlbend/edge/beliefs.py
@@ -30,10 +30,14 @@
 
 __all__ = (
     'LISTED',
+    'Change',
     'decode_whole',
     'encode_whole',
     'take_changes',
+    'take_domains',
+    'take_entries',
     'take_list',
+    'take_publication',
     'take_whole',
 )
 
@@ -79,6 +83,33 @@
         take(steering, stored, deleted)
 
 
+def take_entries(
+    steering: Steering,
+    entry_by_name: Mapping[str, UpstreamEntry | None],
+) -> None:
+    """Take single upstreams, nothing for one whose registration has gone."""
+    for name, entry in entry_by_name.items():
+        if entry is None:
+            _lose(steering, name)
+        else:
+            _register(steering, entry)
+
+
+def take_publication(steering: Steering, publication: Publication) -> None:
+    """Put a publication in force unless it is old."""
+    if publish_routes(steering.routes, publication, steady_seconds()):
+        emit(Event.CONFIG_IN_FORCE, version=publication.version)
+
+
+def take_domains(
+    steering: Steering,
+    out_by_domain: Mapping[str, bool],
+) -> None:
+    """Take whether each of some failure domains is out."""
+    for domain, out in out_by_domain.items():
+        _move_domain(steering, domain, out=out)
+
+
 def encode_whole(steering: Steering, topic: Topic) -> bytes:
     """Return all that is known of a topic, for another instance."""
     if topic is Topic.CONFIGURATION:
@@ -106,7 +137,7 @@
 def take_whole(steering: Steering, topic: Topic, whole: Whole) -> None:
     """Take all that another instance knows of a topic."""
     if isinstance(whole, Publication):
-        _publish(steering, whole)
+        take_publication(steering, whole)
     elif topic is Topic.UPSTREAMS:
         entries = [each for each in whole if isinstance(each, UpstreamEntry)]
         _take_upstreams(steering, entries)
@@ -126,12 +157,7 @@
         revision = stored.meta.rev
         emit(Event.CONFIG_REFUSED, error=f'revision {revision}')
     else:
-        _publish(steering, publication)
-
-
-def _publish(steering: Steering, publication: Publication) -> None:
-    if publish_routes(steering.routes, publication, steady_seconds()):
-        emit(Event.CONFIG_IN_FORCE, version=publication.version)
+        take_publication(steering, publication)
 
 
 def _take_upstreams(
--- a/marlbend/edge/follow.py
+++ b/marlbend/edge/follow.py
@@ -7,7 +7,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from random import Random
 from typing import Final, TypeVar, final
 
@@ -15,7 +15,12 @@
 
 from marlbend import messages
 from marlbend.clock import steady_seconds
-from marlbend.edge.beliefs import take_changes, take_list
+from marlbend.edge.beliefs import (
+    Change,
+    take_changes,
+    take_list,
+)
+from marlbend.edge.changes import encode_changes
 from marlbend.errorcodes import ErrorKind
 from marlbend.errors import MarlbendError
 from marlbend.events import Event, emit
@@ -36,6 +41,7 @@
 )
 from marlbend.steering.state import Steering
 from marlbend.steering.upstreams import any_missing
+from marlbend.wire.beats import ChangesNews
 
 __all__ = ('Feed', 'follow_topic')
 
@@ -63,8 +69,8 @@
     """Hold what following one topic needs.
 
     `position` is the revision to watch from, zero before the first list;
-    `history_gone` asks for a list all the same.  `spread` is called when the
-    platform told of a change.
+    `history_gone` asks for a list all the same.  `spread` is called with what
+    changed when the platform told of it, with an empty body after a list.
     """
 
     __slots__ = (
@@ -86,7 +92,7 @@
         connection: Connection,
         steering: Steering,
         news: News,
-        spread: Callable[[], None],
+        spread: Callable[[ChangesNews], None],
     ) -> None:
         """Start before the first list."""
         self.topic = topic
@@ -145,6 +151,8 @@
         take_list(feed.steering, feed.topic, found)
         feed.position = revision
         _note_read(feed, revision)
+        if revision > known:
+            feed.spread(_describe(feed, revision, revision, ()))
 
 
 async def _watch(feed: Feed) -> bool:
@@ -153,7 +161,8 @@
     if feed.topic is Topic.UPSTREAMS and any_missing(feed.steering.pool):
         # Whether a registration stays away is confirmed by answers.
         wait = min(wait, CONFIRM_SECONDS)
-    path = watch_path(feed.topic, feed.position, wait)
+    since = feed.position
+    path = watch_path(feed.topic, since, wait)
     answer = await _call(feed, path, wait + WATCH_GRACE_SECONDS)
     if answer.status == _GONE:
         feed.history_gone = True
@@ -164,6 +173,7 @@
     if changes and revision > known:
         take_changes(feed.steering, feed.topic, changes)
         _note_read(feed, revision)
+        feed.spread(_describe(feed, since, revision, changes))
     else:
         # What another instance told meanwhile is as new as the answer.
         _note_read(feed, known)
@@ -172,7 +182,6 @@
 
 def _note_read(feed: Feed, revision: int) -> None:
     news = feed.news
-    changed = revision > news.revision_by_topic[feed.topic]
     note_read(news, feed.topic, revision, steady_seconds())
     news.myself.fit = True
     if feed.lost:
@@ -180,8 +189,16 @@
         emit(Event.PLATFORM_BACK, kind=feed.topic.name.lower())
     feed.lost = False
     feed.pause = 0
-    if changed:
-        feed.spread()
+
+
+def _describe(
+    feed: Feed,
+    since: int,
+    until: int,
+    changes: Iterable[Change],
+) -> ChangesNews:
+    body = encode_changes(feed.topic, changes)
+    return ChangesNews(feed.topic, since, until, body)
 
 
 async def _call(feed: Feed, path: str, seconds: float) -> Answer:
--- a/marlbend/edge/peers.py
+++ b/marlbend/edge/peers.py
@@ -11,7 +11,12 @@
 import msgspec
 
 from marlbend.clock import steady_seconds
-from marlbend.edge.beliefs import decode_whole, encode_whole, take_whole
+from marlbend.edge.beliefs import (
+    decode_whole,
+    encode_whole,
+    take_whole,
+)
+from marlbend.edge.changes import take_told_changes
 from marlbend.errors import MarlbendError
 from marlbend.events import Event, emit
 from marlbend.http import Answer, Connection, Page
@@ -21,6 +26,8 @@
     News,
     Topic,
     choose_targets,
+    keep_changes,
+    list_changes,
     make_news,
     merge_news,
     note_read,
@@ -30,6 +37,7 @@
 from marlbend.steering.verdicts import count_busy, review_domain
 from marlbend.wire.beats import (
     Beat,
+    ChangesNews,
     MemberNews,
     UpstreamNews,
     decode_beat,
@@ -39,6 +47,7 @@
 __all__ = (
     'Peers',
     'make_pages',
+    'make_spread',
     'receive_beat',
     'send_beats',
     'send_farewell',
@@ -175,6 +184,8 @@
         return
     now = steady_seconds()
     told = beat.members[0]
+    if take_told_changes(peers.steering, peers.news, beat, now):
+        spread_news(peers)
     for topic in merge_news(peers.news, beat, now):
         if topic not in peers.fetching:
             peers.fetching.add(topic)
@@ -186,6 +197,16 @@
         _send(peers, sender, told.domain)
 
 
+def make_spread(peers: Peers) -> Callable[[ChangesNews], None]:
+    """Return what tells others at once of changes that the platform told."""
+
+    def spread(changes: ChangesNews) -> None:
+        keep_changes(peers.news, changes, steady_seconds())
+        spread_news(peers)
+
+    return spread
+
+
 def make_pages(peers: Peers) -> dict[str, Callable[[], Page]]:
     """Return the pages that serve what this instance knows."""
 
@@ -247,7 +268,8 @@
         upstreams = tuple(_tell_upstreams(peers.steering, now))
     else:
         upstreams = tuple(_tell_far(peers.steering, domain, now))
-    beat = Beat(members, topics, upstreams, answer=answer)
+    changes = tuple(list_changes(peers.news, now))
+    beat = Beat(members, topics, upstreams, answer=answer, changes=changes)
     peers.send(encode_beat(beat), target)
 
 
--- a/marlbend/edge/wiring.py
+++ b/marlbend/edge/wiring.py
@@ -18,11 +18,11 @@
 from marlbend.edge.peers import (
     Peers,
     make_pages,
+    make_spread,
     receive_beat,
     send_beats,
     send_farewell,
     spread_alarm,
-    spread_news,
     stop_fetching,
 )
 from marlbend.edge.reload import Reloading, follow_settings, patience_of
@@ -162,9 +162,7 @@
 
 def _make_feeds(settings: Settings, peers: Peers) -> Iterator[Feed]:
     address = split_url(settings.platform)
-
-    def spread() -> None:
-        spread_news(peers)
+    spread = make_spread(peers)
 
     for topic in Topic:
         connection = Connection(address)
--- a/marlbend/steering/news.py
+++ b/marlbend/steering/news.py
@@ -2,28 +2,33 @@
 
 One instance reads the platform for all: the first by rank of those that live
 and whose calls succeed.  The others learn from beats which revision of each
-topic is the latest and how old that knowledge is, and fetch what is newer from
-whoever told them.  An instance whose knowledge grows too old reads for itself,
-so nothing depends on the reader, or on instances agreeing who it is.
+topic is the latest, how old that knowledge is, and what changed just now; who
+missed a change fetches the whole topic from whoever told of it.  An instance
+whose knowledge grows too old reads for itself, so nothing depends on the
+reader, or on instances agreeing who it is.
 
 Answers the load of a growing fleet on a store whose rates grow more slowly.
 """
 
 import enum
 import zlib
+from collections import deque
 from collections.abc import Iterator
 from random import Random
 from typing import Final, final
 
-from marlbend.wire.beats import Beat, MemberNews, TopicNews
+from marlbend.wire.beats import Beat, ChangesNews, MemberNews, TopicNews
 
 __all__ = (
     'Member',
     'News',
     'Topic',
     'choose_targets',
+    'follows',
     'is_due',
     'is_reader',
+    'keep_changes',
+    'list_changes',
     'list_live',
     'make_news',
     'merge_news',
@@ -37,6 +42,12 @@
 MEMBERS_SENT: Final = 12
 NEAR_TARGETS: Final = 3
 FAR_TARGETS: Final = 1
+# Changes are told for two beats beside the one that goes out at once; twelve
+# copies from each instance that hears of them reach all but a few.
+TOLD_SECONDS: Final = 0.5
+# What a datagram of 9 kB has to spare beside members and upstreams.
+CHANGES_BYTES: Final = 3_000
+RECENT_KEPT: Final = 16
 _MILLISECONDS: Final = 1000
 
 
@@ -66,6 +77,18 @@
         self.rank = zlib.crc32(told.name.encode())
 
 
+@final
+class Recent:
+    """Hold what changed in a topic between two revisions, learned at `at`."""
+
+    __slots__ = ('at', 'changes')
+
+    def __init__(self, changes: ChangesNews, at: float) -> None:
+        """Keep both."""
+        self.changes = changes
+        self.at = at
+
+
 @final
 class News:
     """Hold what an instance knows, how old it is, and from whom to learn.
@@ -74,6 +97,7 @@
     (monotonic seconds) that revision was the latest, and at `back_by_topic`
     the platform answered first after a call that failed.  `patience_by_topic`
     is the age from which on the instance reads for itself, in seconds.
+    `recent` holds the latest changes.
     """
 
     __slots__ = (
@@ -82,6 +106,7 @@
         'member_by_name',
         'myself',
         'patience_by_topic',
+        'recent',
         'revision_by_topic',
     )
 
@@ -96,6 +121,7 @@
         self.member_by_name: dict[str, Member] = {}
         self.revision_by_topic = dict.fromkeys(Topic, 0)
         self.confirmed_by_topic = dict.fromkeys(Topic, float('-inf'))
+        self.recent: deque[Recent] = deque(maxlen=RECENT_KEPT)
         self.back_by_topic = dict.fromkeys(Topic, float('-inf'))
 
 
@@ -112,6 +138,31 @@
     news.back_by_topic[topic] = max(known, now)
 
 
+def keep_changes(news: News, changes: ChangesNews, now: float) -> None:
+    """Keep changes, to tell others of them for a while.
+
+    Those that are too long for a datagram are fetched by whoever needs them.
+    """
+    if changes.since < changes.until and len(changes.body) <= CHANGES_BYTES:
+        news.recent.append(Recent(changes, now))
+
+
+def list_changes(news: News, now: float) -> Iterator[ChangesNews]:
+    """Yield the changes of just now, as many as a datagram holds."""
+    left = CHANGES_BYTES
+    for recent in news.recent:
+        if now - recent.at < TOLD_SECONDS:
+            left -= len(recent.changes.body)
+            if left >= 0:
+                yield recent.changes
+
+
+def follows(news: News, changes: ChangesNews) -> bool:
+    """Tell whether changes bring what is known to a later revision."""
+    known = news.revision_by_topic[Topic(changes.topic)]
+    return changes.since <= known < changes.until
+
+
 def is_reader(news: News, now: float) -> bool:
     """Tell whether this instance is the first by rank of those that can."""
     myself = news.myself
--- a/marlbend/test/edge.py
+++ b/marlbend/test/edge.py
@@ -11,12 +11,18 @@
 from bench.store import Store, put_object
 from marlbend.clock import steady_seconds
 from marlbend.edge.follow import Feed, follow_topic
-from marlbend.edge.peers import Peers, make_pages, receive_beat, send_beats
+from marlbend.edge.peers import (
+    Peers,
+    make_pages,
+    make_spread,
+    receive_beat,
+    send_beats,
+)
 from marlbend.http import Connection, serve_pages
 from marlbend.sockets import make_sender, open_socket, start_reading_senders
 from marlbend.steering import Place, Steering, Ways
 from marlbend.steering.news import Member, News, Topic
-from marlbend.wire.beats import MemberNews
+from marlbend.wire.beats import ChangesNews, MemberNews
 
 __all__ = ('Fleet', 'Instance', 'until', 'with_fleet')
 
@@ -57,6 +63,7 @@
         self.connections = {topic: Connection(store) for topic in Topic}
         self.tasks: list[asyncio.Task[None]] = []
         self.server: asyncio.Server | None = None
+        self.spreading = False
 
     async def start(self) -> None:
         """Start reading, beating and following."""
@@ -67,12 +74,17 @@
         )
         self.server = await serve_pages(self.endpoint, make_pages(self.peers))
         feeds = (
-            Feed(topic, connection, self.steering, self.news, lambda: None)
+            Feed(topic, connection, self.steering, self.news, self.spread)
             for topic, connection in self.connections.items()
         )
         self.tasks = [asyncio.create_task(follow_topic(feed)) for feed in feeds]
         self.tasks.append(asyncio.create_task(send_beats(self.peers)))
 
+    def spread(self, changes: ChangesNews) -> None:
+        """Tell others of changes, unless they are to find out by themselves."""
+        if self.spreading:
+            make_spread(self.peers)(changes)
+
     async def stop(self) -> None:
         """Stop at once, without a word."""
         if self.socket.fileno() < 0:
--- a/marlbend/test/test_edge.py
+++ b/marlbend/test/test_edge.py
@@ -1,6 +1,8 @@
 """Run instances against a store that fails in every way its pages name."""
 
 import asyncio
+import json
+from random import Random
 
 import msgspec
 import pytest
@@ -8,19 +10,32 @@
 
 from bench.store import Faults, set_faults
 from marlbend.clock import steady_seconds
+from marlbend.edge.changes import encode_changes, take_told_changes
 from marlbend.edge.peers import Peers, receive_beat
+from marlbend.platform.objects import StoredObject
+from marlbend.steering import Place, Steering, Ways
 from marlbend.steering.evidence import note_silence
-from marlbend.steering.news import Member, News, Topic
+from marlbend.steering.news import (
+    Member,
+    News,
+    Topic,
+    keep_changes,
+    list_changes,
+    merge_news,
+    note_read,
+)
 from marlbend.test.edge import (
     PATIENCE,
     Fleet,
     make_configuration,
+    make_registration,
     until,
     with_fleet,
 )
 from marlbend.test.steering import Play
 from marlbend.wire.beats import (
     Beat,
+    ChangesNews,
     MemberNews,
     TopicNews,
     UpstreamNews,
@@ -29,6 +44,11 @@
 )
 
 NOBODY = ('127.0.0.1', 9)
+# Nobody listens there, as for an instance that the store turns away.
+AWAY = ('127.0.0.1', 9)
+TELLER = (MemberNews('n2', ('127.0.0.1', 2), 'a', 0, fit=True),)
+# Both sides of what is known.
+PAIRS = ((6, 8), (3, 5))
 
 
 def test_changes_are_in_force_everywhere_by_one_reader() -> None:
@@ -263,6 +283,104 @@
     with_fleet(work)
 
 
+def test_changes_reach_all_without_a_fetch() -> None:
+    """Every instance but the reader is turned away and serves no page."""
+
+    async def work(fleet: Fleet) -> None:
+        reader = await fleet.add('n1')
+        reader.spreading = True
+        others = [
+            await fleet.add(name, '127.9.2.1', store=AWAY)
+            for name in ('n2', 'n3', 'n4')
+        ]
+        await until(lambda: all(each.version == 3 for each in others))
+        await until(lambda: all(each.upstreams == {'i-1'} for each in others))
+        for instance in fleet.instances:
+            assert instance.server is not None
+            instance.server.close()
+        await fleet.register('i-2')
+        await until(lambda: all(len(each.upstreams) == 2 for each in others))
+        await fleet.publish(4)
+        await until(lambda: all(each.version == 4 for each in others))
+        await fleet.put('servers', 'i-1', None)
+        await until(lambda: all(each.upstreams == {'i-2'} for each in others))
+        await fleet.put('evacuations', 'b', {})
+        await until(
+            lambda: all('b' in each.steering.domains_out for each in others)
+        )
+
+    with_fleet(work)
+
+
+def test_changes_that_do_not_follow_are_left() -> None:
+    """What is known stays: it may be later, or a change may be missing."""
+    steering = make_steering()
+    news = make_known_news(5)
+    later, earlier = (
+        make_change(since, until, f'i-{until}') for since, until in PAIRS
+    )
+    assert not take_told_changes(steering, news, tell(later, earlier), 100)
+    assert not steering.pool.by_name
+    assert news.revision_by_topic[Topic.UPSTREAMS] == 5
+
+
+def test_changes_that_overlap_are_taken_in_order() -> None:
+    steering = make_steering()
+    news = make_known_news(5)
+    first, second = make_change(4, 7, 'i-7'), make_change(7, 9, 'i-9')
+    assert take_told_changes(steering, news, tell(second, first), 100)
+    assert not take_told_changes(steering, news, tell(second, first), 100)
+    assert set(steering.pool.by_name) == {'i-7', 'i-9'}
+    assert news.revision_by_topic[Topic.UPSTREAMS] == 9
+    kept = list(list_changes(news, 100))
+    assert kept == [first, second]
+    assert not list(list_changes(news, 102))
+
+
+def test_changes_that_cannot_be_read_are_fetched() -> None:
+    steering = make_steering()
+    news = make_known_news(5)
+    spoiled = ChangesNews(Topic.UPSTREAMS, 5, 7, b'\xc1')
+    take_told_changes(steering, news, tell(spoiled), 100)
+    beat = Beat(TELLER, (TopicNews(Topic.UPSTREAMS, 7, 0),))
+    assert merge_news(news, beat, 100) == [Topic.UPSTREAMS]
+
+
+def test_long_changes_are_not_passed_on() -> None:
+    news = make_known_news(5)
+    long = ChangesNews(Topic.UPSTREAMS, 5, 7, bytes(10_000))
+    keep_changes(news, long, 100)
+    assert not list(list_changes(news, 100))
+
+
+def make_steering() -> Steering:
+    def ignore(*parts: object) -> None:
+        """Send nothing."""
+
+    ways = Ways(ignore, ignore, ignore, ignore)
+    return Steering(Place('n1', 'a'), ways, Random(1))
+
+
+def make_known_news(revision: int) -> News:
+    myself = Member(MemberNews('n1', ('127.0.0.1', 1), 'a', 0, fit=True), 100)
+    news = News(myself, dict.fromkeys(Topic, 1.0))
+    note_read(news, Topic.UPSTREAMS, revision, 100)
+    return news
+
+
+def make_change(since: int, until: int, name: str) -> ChangesNews:
+    spec = json.dumps(make_registration()).encode()
+    stored = json.dumps({'meta': {'name': name}}).encode()
+    changed = msgspec.json.decode(stored, type=StoredObject)
+    changed.spec = msgspec.Raw(spec)
+    body = encode_changes(Topic.UPSTREAMS, [(changed, False)])
+    return ChangesNews(Topic.UPSTREAMS, since, until, body)
+
+
+def tell(*changes: ChangesNews) -> Beat:
+    return Beat(TELLER, changes=changes)
+
+
 @settings(max_examples=100, deadline=None, derandomize=True)
 @given(strategies.binary(max_size=200), strategies.integers(0, 400))
 def test_any_datagram_on_the_control_port_is_taken(
--- a/marlbend/wire/beats.py
+++ b/marlbend/wire/beats.py
@@ -9,6 +9,7 @@
 
 __all__ = (
     'Beat',
+    'ChangesNews',
     'MemberNews',
     'TopicNews',
     'UpstreamNews',
@@ -45,6 +46,16 @@
     back_age: _AgeIfAny = -1
 
 
+@final
+class ChangesNews(msgspec.Struct, array_like=True, frozen=True):
+    """Carry what changed in a topic after one revision and up to another."""
+
+    topic: _TopicNumber
+    since: int
+    until: int
+    body: bytes
+
+
 @final
 class MemberNews(msgspec.Struct, array_like=True, frozen=True):
     """Tell of one instance: when it was heard, and if its reads succeed.
@@ -89,7 +100,8 @@
     the sender's own domain that are silent or have no slot free, with what the
     whole domain lets them do, and those of the receiver's domain that the
     sender uses.  `answer` asks for
-    a beat in return.
+    a beat in return.  `changes` holds what changed just now, for those who know
+    the revision before it.
     """
 
     members: tuple[MemberNews, ...]
@@ -97,6 +109,7 @@
     upstreams: tuple[UpstreamNews, ...] = ()
     leaving: bool = False
     answer: bool = False
+    changes: tuple[ChangesNews, ...] = ()
 
 
 _ENCODER = msgspec.msgpack.Encoder()
