--- a/marlbend/edge/beliefs.py
+++ b/marlbend/edge/beliefs.py
@@ -20,7 +20,7 @@
 from marlbend.steering.documents import Publication, UpstreamEntry
 from marlbend.steering.news import Topic
 from marlbend.steering.routes import publish_routes
-from marlbend.steering.state import Steering
+from marlbend.steering.state import STAYS_OUT, Steering
 from marlbend.steering.upstreams import (
     end_upstream,
     miss_upstream,
@@ -222,16 +222,17 @@
 
 
 def _take_domains(steering: Steering, names: set[str]) -> None:
-    for name in names.symmetric_difference(steering.domains_out):
-        _move_domain(steering, name, out=name in names)
+    known = names.union(steering.domains_out)
+    take_domains(steering, {name: name in names for name in known})
 
 
 def _move_domain(steering: Steering, name: str, *, out: bool) -> None:
     if out:
-        steering.domains_out.add(name)
-    else:
-        steering.domains_out.discard(name)
-    emit(Event.DOMAIN_MOVED, domain=name, state='out' if out else 'in')
+        if name not in steering.domains_out:
+            emit(Event.DOMAIN_MOVED, domain=name, state='out')
+        steering.domains_out[name] = STAYS_OUT
+    elif steering.domains_out.get(name) == STAYS_OUT:
+        steering.domains_out[name] = steady_seconds()
 
 
 _TAKE_BY_TOPIC: Final[Mapping[Topic, Take]] = MappingProxyType(
--- a/marlbend/edge/changes.py
+++ b/marlbend/edge/changes.py
@@ -27,9 +27,9 @@
     News,
     Topic,
     follows,
-    keep_changes,
     note_read,
 )
+from marlbend.steering.recent import keep_changes
 from marlbend.steering.state import Steering
 from marlbend.wire.beats import Beat, ChangesNews
 
@@ -81,7 +81,7 @@
             emit(Event.FETCH_FAILED, peer=beat.members[0].name, error=error)
             continue
         note_read(news, topic, changes.until, now - _find_age(beat, changes))
-        keep_changes(news, changes, now)
+        keep_changes(news.recent, changes, now)
         taken = True
     return taken
 
--- a/marlbend/edge/peers.py
+++ b/marlbend/edge/peers.py
@@ -22,16 +22,15 @@
 from marlbend.http import Answer, Connection, Page
 from marlbend.steering.evidence import note_life
 from marlbend.steering.failing import adopt_pause, fade_counts
+from marlbend.steering.members import choose_targets, forget_silent
 from marlbend.steering.news import (
     News,
     Topic,
-    choose_targets,
-    keep_changes,
-    list_changes,
-    make_news,
+    make_beat,
     merge_news,
     note_read,
 )
+from marlbend.steering.recent import keep_changes
 from marlbend.steering.state import Steering
 from marlbend.steering.upstreams import Told, Upstream
 from marlbend.steering.verdicts import count_busy, review_domain
@@ -126,10 +125,12 @@
     """
     random = peers.steering.random
     while True:
-        alone = not peers.news.member_by_name
+        alone = not peers.news.members.by_name
         for seed in peers.seeds:
             if alone or random.random() < SEED_CHANCE:
-                _send(peers, seed, '', answer=True)
+                peers.send(_encode(peers, '', answer=True), seed)
+        if random.random() < SEED_CHANCE:
+            forget_silent(peers.news.members, steady_seconds())
         spread_news(peers)
         await asyncio.sleep(BEAT_SECONDS)
 
@@ -137,9 +138,14 @@
 def spread_news(peers: Peers) -> None:
     """Send one beat to each of a few instances."""
     news = peers.news
-    now = steady_seconds()
-    for member in choose_targets(news, peers.steering.random, now):
-        _send(peers, member.endpoint, member.domain)
+    targets = choose_targets(news.members, peers.steering.random)
+    beat_by_domain: dict[str, bytes] = {}
+    for member in targets:
+        beat = beat_by_domain.get(member.domain) or _encode(
+            peers, member.domain
+        )
+        beat_by_domain[member.domain] = beat
+        peers.send(beat, member.endpoint)
 
 
 def spread_alarm(peers: Peers) -> None:
@@ -149,20 +155,17 @@
         return
     peers.alarmed_at = now
     news = peers.news
-    near = [
-        member
-        for member in news.member_by_name.values()
-        if member.domain == news.myself.domain
-    ]
-    for member in near[:ALARM_TARGETS]:
-        _send(peers, member.endpoint, member.domain)
+    beat = _encode(peers, news.myself.domain)
+    for member in news.members.near[:ALARM_TARGETS]:
+        peers.send(beat, member.endpoint)
 
 
 def send_farewell(peers: Peers) -> None:
     """Tell every instance known that this one stops."""
-    members, _ = make_news(peers.news, peers.steering.random, steady_seconds())
+    now = steady_seconds()
+    members = make_beat(peers.news, peers.steering.random, now).members
     farewell = encode_beat(Beat(members[:1], leaving=True))
-    for member in peers.news.member_by_name.values():
+    for member in peers.news.members.by_name.values():
         peers.send(farewell, member.endpoint)
 
 
@@ -194,14 +197,14 @@
             task.add_done_callback(peers.tasks.discard)
     _take_upstream_news(peers.steering, told, beat, now)
     if beat.answer:
-        _send(peers, sender, told.domain)
+        peers.send(_encode(peers, told.domain, in_full=True), sender)
 
 
 def make_spread(peers: Peers) -> Callable[[ChangesNews], None]:
     """Return what tells others at once of changes that the platform told."""
 
     def spread(changes: ChangesNews) -> None:
-        keep_changes(peers.news, changes, steady_seconds())
+        keep_changes(peers.news.recent, changes, steady_seconds())
         spread_news(peers)
 
     return spread
@@ -254,23 +257,24 @@
     spread_news(peers)
 
 
-def _send(
+def _encode(
     peers: Peers,
-    target: Address,
     domain: str,
     *,
     answer: bool = False,
-) -> None:
-    """Send a beat to an instance of a domain, empty where it is not known."""
+    in_full: bool = False,
+) -> bytes:
+    """Return a beat for instances of a domain, empty where it is not known."""
     now = steady_seconds()
-    members, topics = make_news(peers.news, peers.steering.random, now)
+    steering = peers.steering
+    beat = make_beat(peers.news, steering.random, now, in_full=in_full)
     if domain == peers.news.myself.domain:
-        upstreams = tuple(_tell_upstreams(peers.steering, now))
+        upstreams = tuple(_tell_upstreams(steering, now))
     else:
-        upstreams = tuple(_tell_far(peers.steering, domain, now))
-    changes = tuple(list_changes(peers.news, now))
-    beat = Beat(members, topics, upstreams, answer=answer, changes=changes)
-    peers.send(encode_beat(beat), target)
+        upstreams = tuple(_tell_far(steering, domain, now))
+    return encode_beat(
+        msgspec.structs.replace(beat, upstreams=upstreams, answer=answer)
+    )
 
 
 def _tell_upstreams(steering: Steering, now: float) -> Iterator[UpstreamNews]:
--- a/marlbend/edge/wiring.py
+++ b/marlbend/edge/wiring.py
@@ -27,6 +27,7 @@
 )
 from marlbend.edge.reload import Reloading, follow_settings, patience_of
 from marlbend.edge.status import describe, render_metrics
+from marlbend.edge.sweeping import sweep
 from marlbend.edge.telling import make_teller
 from marlbend.errors import MarlbendError
 from marlbend.events import Event, emit
@@ -42,18 +43,19 @@
     start_reading,
     start_reading_senders,
 )
-from marlbend.steering.flows import sweep_flows
-from marlbend.steering.news import Member, News, Topic, list_live
-from marlbend.steering.packet import Packet
-from marlbend.steering.state import Outcome, Place, Steering, Ways
+from marlbend.steering import Outcome, Packet, Place, Steering, Ways
+from marlbend.steering.members import Member
+from marlbend.steering.news import (
+    News,
+    Topic,
+)
 from marlbend.steering.steer import make_receiver, review_opening
-from marlbend.steering.upstreams import Upstream, expire_upstreams
+from marlbend.steering.upstreams import Upstream
 from marlbend.wire import STATUS_PATH
 from marlbend.wire.beats import MemberNews
 
 __all__ = ('serve',)
 
-SWEEP_SECONDS: Final = 0.5
 # Routers notice within three polls of half a second that an instance leaves.
 LEAVE_SECONDS: Final = 2.5
 METRICS_PATH: Final = '/metrics'
@@ -157,7 +159,7 @@
         yield follow_topic(feed)
     yield send_beats(peers)
     yield follow_settings(reloading)
-    yield _sweep(peers.steering, peers.news)
+    yield sweep(peers.steering, peers.news)
 
 
 def _make_feeds(settings: Settings, peers: Peers) -> Iterator[Feed]:
@@ -246,42 +248,3 @@
 
     start_reading(fabric, receive_datagram, wake)
     return steering
-
-
-async def _sweep(steering: Steering, news: News) -> None:
-    cut: set[str] = set()
-    avoided: dict[str, float] = {}
-    while True:
-        await asyncio.sleep(SWEEP_SECONDS)
-        steering.now = steady_seconds()
-        _tell_partitions(steering, cut)
-        _tell_avoided(steering, avoided)
-        steering.heard_at = news.confirmed_by_topic[Topic.UPSTREAMS]
-        steering.back_at = news.back_by_topic[Topic.UPSTREAMS]
-        steering.place.peers = tuple(
-            (each.name, each.domain) for each in list_live(news, steering.now)
-        )
-        sweep_flows(steering)
-        confirmed = (steering.back_at, steering.heard_at)
-        for ended in expire_upstreams(steering.pool, steering.now, confirmed):
-            emit(Event.UPSTREAM_ENDED, upstream=ended.name, reason='missing')
-
-
-def _tell_avoided(steering: Steering, told: dict[str, float]) -> None:
-    """Log each pause of an upstream once; `told` holds when each ends."""
-    for known in steering.pool.by_name.values():
-        until = known.served.avoided_until
-        if until > steering.now and told.get(known.name) != until:
-            told[known.name] = until
-            seconds = round(until - steering.now, 1)
-            emit(Event.UPSTREAM_AVOIDED, upstream=known.name, seconds=seconds)
-
-
-def _tell_partitions(steering: Steering, told: set[str]) -> None:
-    for domain in told.symmetric_difference(steering.cut_by_domain):
-        event = Event.PARTITION_OVER
-        if domain in steering.cut_by_domain:
-            event = Event.PARTITION_SEEN
-        emit(event, domain=domain)
-    told.clear()
-    told.update(steering.cut_by_domain)
--- a/marlbend/steering/news.py
+++ b/marlbend/steering/news.py
@@ -11,43 +11,48 @@
 """
 
 import enum
-import zlib
-from collections import deque
 from collections.abc import Iterator
 from random import Random
 from typing import Final, final
 
-from marlbend.wire.beats import Beat, ChangesNews, MemberNews, TopicNews
+from marlbend.steering.members import (
+    GONE_SECONDS,
+    Member,
+    Members,
+    describe_member,
+    find_age,
+    forget_member,
+    merge_member,
+    merge_seen,
+    sample_live,
+)
+from marlbend.steering.recent import RecentChanges, list_changes
+from marlbend.wire.beats import (
+    Beat,
+    ChangesNews,
+    SeenNews,
+    TopicNews,
+)
 
 __all__ = (
-    'Member',
     'News',
     'Topic',
-    'choose_targets',
     'follows',
     'is_due',
     'is_reader',
-    'keep_changes',
-    'list_changes',
     'list_live',
-    'make_news',
+    'make_beat',
     'merge_news',
     'note_back',
     'note_read',
 )
 
-# Beats come four times a second; a member is gone after missing many of them.
-GONE_SECONDS: Final = 3.0
-FORGOTTEN_SECONDS: Final = 60.0
+# Of so many others a beat tells when they were heard; of the first few it says
+# all, so that each of hundreds is described to an instance every ten seconds.
 MEMBERS_SENT: Final = 12
-NEAR_TARGETS: Final = 3
-FAR_TARGETS: Final = 1
-# Changes are told for two beats beside the one that goes out at once; twelve
-# copies from each instance that hears of them reach all but a few.
-TOLD_SECONDS: Final = 0.5
-# What a datagram of 9 kB has to spare beside members and upstreams.
-CHANGES_BYTES: Final = 3_000
-RECENT_KEPT: Final = 16
+MEMBERS_DESCRIBED: Final = 2
+# A dead reader is noticed after seconds, so that this adds little.
+RANKED_SECONDS: Final = 0.25
 _MILLISECONDS: Final = 1000
 
 
@@ -61,34 +66,6 @@
     DOMAINS_OUT = 2
 
 
-@final
-class Member:
-    """Describe one instance; `heard_at` is monotonic seconds."""
-
-    __slots__ = ('domain', 'endpoint', 'fit', 'heard_at', 'name', 'rank')
-
-    def __init__(self, told: MemberNews, heard_at: float) -> None:
-        """Take over what was told."""
-        self.name = told.name
-        self.endpoint = told.endpoint
-        self.domain = told.domain
-        self.fit = told.fit
-        self.heard_at = heard_at
-        self.rank = zlib.crc32(told.name.encode())
-
-
-@final
-class Recent:
-    """Hold what changed in a topic between two revisions, learned at `at`."""
-
-    __slots__ = ('at', 'changes')
-
-    def __init__(self, changes: ChangesNews, at: float) -> None:
-        """Keep both."""
-        self.changes = changes
-        self.at = at
-
-
 @final
 class News:
     """Hold what an instance knows, how old it is, and from whom to learn.
@@ -98,14 +75,17 @@
     the platform answered first after a call that failed.  `patience_by_topic`
     is the age from which on the instance reads for itself, in seconds.
     `recent` holds the latest changes.
+    `first` tells whether this instance was the first by rank at `ranked_at`.
     """
 
     __slots__ = (
         'back_by_topic',
         'confirmed_by_topic',
-        'member_by_name',
+        'first',
+        'members',
         'myself',
         'patience_by_topic',
+        'ranked_at',
         'recent',
         'revision_by_topic',
     )
@@ -118,10 +98,12 @@
         """Start knowing nothing and nobody."""
         self.myself = myself
         self.patience_by_topic = patience_by_topic
-        self.member_by_name: dict[str, Member] = {}
+        self.members = Members(myself)
+        self.first = False
+        self.ranked_at = float('-inf')
         self.revision_by_topic = dict.fromkeys(Topic, 0)
         self.confirmed_by_topic = dict.fromkeys(Topic, float('-inf'))
-        self.recent: deque[Recent] = deque(maxlen=RECENT_KEPT)
+        self.recent = RecentChanges()
         self.back_by_topic = dict.fromkeys(Topic, float('-inf'))
 
 
@@ -138,25 +120,6 @@
     news.back_by_topic[topic] = max(known, now)
 
 
-def keep_changes(news: News, changes: ChangesNews, now: float) -> None:
-    """Keep changes, to tell others of them for a while.
-
-    Those that are too long for a datagram are fetched by whoever needs them.
-    """
-    if changes.since < changes.until and len(changes.body) <= CHANGES_BYTES:
-        news.recent.append(Recent(changes, now))
-
-
-def list_changes(news: News, now: float) -> Iterator[ChangesNews]:
-    """Yield the changes of just now, as many as a datagram holds."""
-    left = CHANGES_BYTES
-    for recent in news.recent:
-        if now - recent.at < TOLD_SECONDS:
-            left -= len(recent.changes.body)
-            if left >= 0:
-                yield recent.changes
-
-
 def follows(news: News, changes: ChangesNews) -> bool:
     """Tell whether changes bring what is known to a later revision."""
     known = news.revision_by_topic[Topic(changes.topic)]
@@ -164,20 +127,27 @@
 
 
 def is_reader(news: News, now: float) -> bool:
-    """Tell whether this instance is the first by rank of those that can."""
-    myself = news.myself
-    return myself.fit and not any(
-        member.fit
-        and member.rank < myself.rank
-        and now - member.heard_at < GONE_SECONDS
-        for member in news.member_by_name.values()
-    )
+    """Tell whether this instance is the first by rank of those that can.
+
+    That is looked up anew after a while only; readers that overlap do no harm.
+    """
+    if not news.myself.fit:
+        return False
+    if now - news.ranked_at > RANKED_SECONDS:
+        news.ranked_at = now
+        news.first = not any(
+            member.fit
+            and member.rank < news.myself.rank
+            and now - member.heard_at < GONE_SECONDS
+            for member in news.members.by_name.values()
+        )
+    return news.first
 
 
 def list_live(news: News, now: float) -> Iterator[Member]:
     """Yield the live instances, this one first."""
     yield news.myself
-    for member in news.member_by_name.values():
+    for member in news.members.by_name.values():
         if now - member.heard_at < GONE_SECONDS:
             yield member
 
@@ -188,56 +158,46 @@
     return age > news.patience_by_topic[topic] or is_reader(news, now)
 
 
-def make_news(
+def make_beat(
     news: News,
     random: Random,
     now: float,
-) -> tuple[tuple[MemberNews, ...], tuple[TopicNews, ...]]:
-    """Return what a beat tells of members and topics."""
-    others = [
-        member
-        for member in news.member_by_name.values()
-        if now - member.heard_at < GONE_SECONDS
-    ]
-    if len(others) > MEMBERS_SENT:
-        others = random.sample(others, MEMBERS_SENT)
+    *,
+    in_full: bool = False,
+) -> Beat:
+    """Return a beat that tells of members, topics and recent changes.
+
+    With `in_full` it describes as many members as it would else name by rank,
+    for an instance that has just come.
+    """
+    others = sample_live(news.members, random, now)
+    described = MEMBERS_SENT if in_full else MEMBERS_DESCRIBED
     news.myself.heard_at = now
-    told = tuple(_describe(member, now) for member in (news.myself, *others))
-    return told, tuple(_describe_topics(news, now))
+    told = (news.myself, *others[:described])
+    return Beat(
+        tuple(describe_member(member, now) for member in told),
+        tuple(_describe_topics(news, now)),
+        changes=tuple(list_changes(news.recent, now)),
+        seen=tuple(
+            SeenNews(member.rank, find_age(member.heard_at, now), member.fit)
+            for member in others[described:MEMBERS_SENT]
+        ),
+    )
 
 
 def merge_news(news: News, beat: Beat, now: float) -> list[Topic]:
     """Take a beat in; return the topics of which its sender knows more."""
     for told in beat.members:
-        _merge_member(news, told, now)
+        merge_member(news.members, told, now)
+    for seen in beat.seen:
+        known = news.members.by_rank.get(seen.rank)
+        if known is not None:
+            merge_seen(known, seen, now)
     if beat.leaving:
-        news.member_by_name.pop(beat.members[0].name, None)
+        forget_member(news.members, beat.members[0].name)
     return list(_merge_topics(news, beat, now))
 
 
-def choose_targets(news: News, random: Random, now: float) -> list[Member]:
-    """Return a few members for a beat, most of them of the own domain."""
-    for name, member in tuple(news.member_by_name.items()):
-        if now - member.heard_at > FORGOTTEN_SECONDS:
-            news.member_by_name.pop(name)
-    near: list[Member] = []
-    far: list[Member] = []
-    for member in news.member_by_name.values():
-        own = member.domain == news.myself.domain
-        (near if own else far).append(member)
-    targets = random.sample(near, min(NEAR_TARGETS, len(near)))
-    return targets + random.sample(far, min(FAR_TARGETS, len(far)))
-
-
-def _merge_member(news: News, told: MemberNews, now: float) -> None:
-    if told.name == news.myself.name:
-        return
-    heard_at = now - told.age / _MILLISECONDS
-    known = news.member_by_name.get(told.name)
-    if known is None or heard_at > known.heard_at:
-        news.member_by_name[told.name] = Member(told, heard_at)
-
-
 def _merge_topics(news: News, beat: Beat, now: float) -> Iterator[Topic]:
     for told in beat.topics:
         topic = Topic(told.topic)
@@ -251,24 +211,10 @@
             note_read(news, topic, known, confirmed)
 
 
-def _describe(member: Member, now: float) -> MemberNews:
-    return MemberNews(
-        name=member.name,
-        endpoint=member.endpoint,
-        domain=member.domain,
-        age=_age(member.heard_at, now),
-        fit=member.fit,
-    )
-
-
 def _describe_topics(news: News, now: float) -> Iterator[TopicNews]:
     for topic, revision in news.revision_by_topic.items():
         if revision:
-            age = _age(news.confirmed_by_topic[topic], now)
+            age = find_age(news.confirmed_by_topic[topic], now)
             back = news.back_by_topic[topic]
-            back_age = _age(back, now) if back > 0 else -1
+            back_age = find_age(back, now) if back > 0 else -1
             yield TopicNews(topic, revision, age, back_age)
-
-
-def _age(moment: float, now: float) -> int:
-    return int((now - moment) * _MILLISECONDS)
--- a/marlbend/steering/state.py
+++ b/marlbend/steering/state.py
@@ -12,6 +12,7 @@
 from marlbend.steering.upstreams import Upstream, UpstreamPool
 
 __all__ = (
+    'STAYS_OUT',
     'Cut',
     'Flow',
     'Handshakes',
@@ -29,6 +30,8 @@
 FIRST_HANDSHAKE_SECONDS: Final = 0.02
 FIRST_TEST_SECONDS: Final = 0.5
 REFUTED_KEPT: Final = 8
+# The return of a failure domain that is out for good.
+STAYS_OUT: Final = float('inf')
 
 
 @enum.unique
@@ -234,7 +237,9 @@
 class Steering:
     """Hold the state of the decisions of one instance.
 
-    `domains_out` holds the failure domains that the operator took out,
+    `domains_out` holds the failure domains that the operator took out, each
+    with when it was taken back or `STAYS_OUT`: its upstreams may have become
+    cold, so it waits for news of upstreams that is as new.
     `cut_by_domain` those that a partition seems to have cut off.
     `upstreams_known` turns true with the first complete list, `heard_at` is
     when the platform last told of the upstreams, `back_at` when it did so first
@@ -267,7 +272,7 @@
         self.random = random
         self.routes = RouteTable()
         self.pool = UpstreamPool()
-        self.domains_out: set[str] = set()
+        self.domains_out: dict[str, float] = {}
         self.cut_by_domain: dict[str, Cut] = {}
         self.flow_by_key: dict[bytes, Flow] = {}
         self.counts = [0 for _ in Outcome]
--- a/marlbend/test/edge.py
+++ b/marlbend/test/edge.py
@@ -21,7 +21,8 @@
 from marlbend.http import Connection, serve_pages
 from marlbend.sockets import make_sender, open_socket, start_reading_senders
 from marlbend.steering import Place, Steering, Ways
-from marlbend.steering.news import Member, News, Topic
+from marlbend.steering.members import Member
+from marlbend.steering.news import News, Topic
 from marlbend.wire.beats import ChangesNews, MemberNews
 
 __all__ = ('Fleet', 'Instance', 'until', 'with_fleet')
--- a/marlbend/test/steering.py
+++ b/marlbend/test/steering.py
@@ -18,6 +18,7 @@
 )
 from marlbend.steering.flows import sweep_flows
 from marlbend.steering.refusing import KNOWN_REQUESTS, note_work
+from marlbend.steering.state import STAYS_OUT
 from marlbend.steering.steer import make_receiver, review_opening
 from marlbend.steering.upstreams import (
     Told,
@@ -162,11 +163,11 @@
 
     def out(self, domain: str) -> None:
         """Take a domain out."""
-        self.steering.domains_out.add(domain)
+        self.steering.domains_out[domain] = STAYS_OUT
 
     def back(self, domain: str) -> None:
         """Take a domain in again."""
-        self.steering.domains_out.discard(domain)
+        self.steering.domains_out.pop(domain)
 
     def peers(self, *names: str) -> None:
         """Let the instance know others, `NAME:DOMAIN`."""
--- a/marlbend/test/test_edge.py
+++ b/marlbend/test/test_edge.py
@@ -12,18 +12,20 @@
 from marlbend.clock import steady_seconds
 from marlbend.edge.changes import encode_changes, take_told_changes
 from marlbend.edge.peers import Peers, receive_beat
+from marlbend.edge.sweeping import end_returns
 from marlbend.platform.objects import StoredObject
 from marlbend.steering import Place, Steering, Ways
 from marlbend.steering.evidence import note_silence
+from marlbend.steering.members import Member
 from marlbend.steering.news import (
-    Member,
     News,
     Topic,
-    keep_changes,
-    list_changes,
+    make_beat,
     merge_news,
     note_read,
 )
+from marlbend.steering.recent import keep_changes, list_changes
+from marlbend.steering.state import STAYS_OUT
 from marlbend.test.edge import (
     PATIENCE,
     Fleet,
@@ -37,6 +39,7 @@
     Beat,
     ChangesNews,
     MemberNews,
+    SeenNews,
     TopicNews,
     UpstreamNews,
     decode_beat,
@@ -176,16 +179,44 @@
     with_fleet(work)
 
 
-def test_domain_goes_out_and_comes_back() -> None:
+def test_domain_comes_back_when_its_upstreams_are_known_as_of_then() -> None:
+    """They may have become cold while it was out."""
+
     async def work(fleet: Fleet) -> None:
         instance = await fleet.add('n1')
         await until(lambda: instance.version == 3)
-        out = instance.steering.domains_out
+        steering = instance.steering
+        out = steering.domains_out
         for _ in range(2):
             await fleet.put('evacuations', 'b', {})
-            await until(lambda: out == {'b'})
+            await until(lambda: out == {'b': STAYS_OUT})
+            end_returns(steering)
             await fleet.put('evacuations', 'b', None)
-            await until(lambda: not out)
+            await until(lambda: out['b'] < STAYS_OUT)
+            steering.heard_at = out['b'] - 1
+            end_returns(steering)
+            assert set(out) == {'b'}
+            steering.heard_at = out['b']
+            end_returns(steering)
+            assert not out
+
+    with_fleet(work)
+
+
+def test_domain_that_goes_out_again_stays_out() -> None:
+    async def work(fleet: Fleet) -> None:
+        instance = await fleet.add('n1')
+        await until(lambda: instance.version == 3)
+        out = instance.steering.domains_out
+        await fleet.put('evacuations', 'b', {})
+        await until(lambda: out.get('b') == STAYS_OUT)
+        await fleet.put('evacuations', 'b', None)
+        await until(lambda: out['b'] < STAYS_OUT)
+        await fleet.put('evacuations', 'b', {})
+        await until(lambda: out['b'] == STAYS_OUT)
+        instance.steering.heard_at = steady_seconds()
+        end_returns(instance.steering)
+        assert out == {'b': STAYS_OUT}
 
     with_fleet(work)
 
@@ -248,7 +279,7 @@
         await fleet.put('evacuations', 'b', {})
         await until(lambda: refused.version == 4)
         await until(lambda: refused.upstreams == {'i-1', 'i-2'})
-        await until(lambda: refused.steering.domains_out == {'b'})
+        await until(lambda: set(refused.steering.domains_out) == {'b'})
         assert not refused.news.myself.fit
 
     with_fleet(work)
@@ -332,9 +363,9 @@
     assert not take_told_changes(steering, news, tell(second, first), 100)
     assert set(steering.pool.by_name) == {'i-7', 'i-9'}
     assert news.revision_by_topic[Topic.UPSTREAMS] == 9
-    kept = list(list_changes(news, 100))
+    kept = list(list_changes(news.recent, 100))
     assert kept == [first, second]
-    assert not list(list_changes(news, 102))
+    assert not list(list_changes(news.recent, 102))
 
 
 def test_changes_that_cannot_be_read_are_fetched() -> None:
@@ -349,8 +380,44 @@
 def test_long_changes_are_not_passed_on() -> None:
     news = make_known_news(5)
     long = ChangesNews(Topic.UPSTREAMS, 5, 7, bytes(10_000))
-    keep_changes(news, long, 100)
-    assert not list(list_changes(news, 100))
+    keep_changes(news.recent, long, 100)
+    assert not list(list_changes(news.recent, 100))
+
+
+def test_members_are_described_first_and_then_named_by_rank() -> None:
+    news = make_known_news(5)
+    for number in range(30):
+        told = MemberNews(
+            f'instance-{number:04}', ('127.0.0.100', 6083), 'a', 0, fit=True
+        )
+        merge_news(news, Beat((told,)), 100)
+    first = make_beat(news, Random(1), 100, in_full=True)
+    assert len(first.members) == 13
+    assert not first.seen
+    later = make_beat(news, Random(1), 101)
+    assert len(later.members) == 3
+    assert len(later.seen) == 10
+    assert len(encode_beat(later)) < len(encode_beat(first)) / 2
+
+
+def test_who_was_heard_is_told_by_rank() -> None:
+    news = make_known_news(5)
+    merge_news(news, Beat(TELLER), 100)
+    known = news.members.by_name['n2']
+    other = (MemberNews('n3', ('127.0.0.1', 3), 'a', 0, fit=True),)
+    seen = (SeenNews(known.rank, 1000, False),)
+    merge_news(news, Beat(other, seen=seen), 102)
+    assert known.heard_at == 101
+    assert not known.fit
+    older = (SeenNews(known.rank, 5000, True),)
+    merge_news(news, Beat(other, seen=older), 103)
+    assert known.heard_at == 101
+    stranger = SeenNews(known.rank + 1, 0, True)
+    merge_news(news, Beat(other, seen=(stranger,)), 103)
+    assert set(news.members.by_name) == {'n2', 'n3'}
+    merge_news(news, Beat(TELLER, leaving=True), 104)
+    assert set(news.members.by_name) == {'n3'}
+    assert known.rank not in news.members.by_rank
 
 
 def make_steering() -> Steering:
@@ -398,8 +465,8 @@
     whole = encode_beat(beat)
     for datagram in (noise, whole[:place] + noise + whole[place + 5 :], whole):
         receive_beat(peers, datagram, ('127.9.2.2', 1))
-    assert 'n2' in news.member_by_name
-    for member in news.member_by_name.values():
+    assert 'n2' in news.members.by_name
+    for member in news.members.by_name.values():
         assert member.heard_at <= steady_seconds()
 
 
@@ -426,7 +493,7 @@
         near = await fleet.add('n1')
         far = await fleet.add('n2', '127.9.2.1', domain='b')
         await until(lambda: len(near.upstreams) == len(far.upstreams) == 2)
-        await until(lambda: bool(far.news.member_by_name))
+        await until(lambda: bool(far.news.members.by_name))
         now = steady_seconds()
         near.steering.now = now
         for name in ('i-1', 'i-2'):
--- a/marlbend/wire/beats.py
+++ b/marlbend/wire/beats.py
@@ -11,6 +11,7 @@
     'Beat',
     'ChangesNews',
     'MemberNews',
+    'SeenNews',
     'TopicNews',
     'UpstreamNews',
     'decode_beat',
@@ -21,6 +22,8 @@
 # Topics are numbered from zero; a later version may know more of them.
 HIGHEST_TOPIC: Final = 2
 HIGHEST_COUNT: Final = 1_000_000
+# A rank is a checksum of 32 bits.
+HIGHEST_RANK: Final = 4_294_967_295
 
 
 _Age = Annotated[int, msgspec.Meta(ge=0)]
@@ -29,6 +32,7 @@
 _Count = Annotated[int, msgspec.Meta(ge=0, le=HIGHEST_COUNT)]
 _Address = Annotated[str, msgspec.Meta(pattern=r'^\d{1,3}(\.\d{1,3}){3}$')]
 _Port = Annotated[int, msgspec.Meta(ge=1, le=HIGHEST_PORT)]
+_Rank = Annotated[int, msgspec.Meta(ge=0, le=HIGHEST_RANK)]
 _TopicNumber = Annotated[int, msgspec.Meta(ge=0, le=HIGHEST_TOPIC)]
 
 
@@ -70,6 +74,15 @@
     fit: bool
 
 
+@final
+class SeenNews(msgspec.Struct, array_like=True, frozen=True):
+    """Tell when an instance was heard, for those who know it by its rank."""
+
+    rank: _Rank
+    age: _Age
+    fit: bool
+
+
 @final
 class UpstreamNews(msgspec.Struct, array_like=True, frozen=True):
     """Tell what the sender's own flows show of one upstream.
@@ -95,7 +108,8 @@
 class Beat(msgspec.Struct, array_like=True, frozen=True):
     """Carry what an instance tells another.
 
-    `members` starts with the sender itself.  Between failure domains,
+    `members` starts with the sender itself; a few others follow, and `seen`
+    tells of more of them in a fifth of the bytes.  Between failure domains,
     where the paths to an upstream differ, `upstreams` holds only those of
     the sender's own domain that are silent or have no slot free, with what the
     whole domain lets them do, and those of the receiver's domain that the
@@ -110,6 +124,7 @@
     leaving: bool = False
     answer: bool = False
     changes: tuple[ChangesNews, ...] = ()
+    seen: tuple[SeenNews, ...] = ()
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -54,6 +54,7 @@
         'cut_one_way': network.cut_one_way,
         'crash_upstream': upstreams.crash_upstream,
         'restart_upstream': upstreams.restart_upstream,
+        'restart_unseen': upstreams.restart_unseen,
         'pause_upstream': upstreams.pause_upstream,
         'drain_upstream': upstreams.drain_upstream,
         'add_upstream': upstreams.add_upstream,
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -30,10 +30,13 @@
     'end_fleet',
     'join_instance',
     'send_signal',
+    'take_network',
     'write_settings',
 )
 
 STORE_PORT: Final = 6090
+FIRST_NETWORK: Final = 16
+NETWORKS: Final = 200
 READY_PORT: Final = 6082
 CONTROL_PORT: Final = 6083
 RESTART_SECONDS: Final = 0.5
@@ -86,6 +89,16 @@
     tasks: set[asyncio.Task[None]] = set()
 
 
+def take_network() -> tuple[str, socket.socket]:
+    """Return the start of addresses that no other run uses, and their claim."""
+    for network in range(FIRST_NETWORK, FIRST_NETWORK + NETWORKS):
+        base = f'127.{network}'
+        with suppress(MarlbendError):
+            # Several runs may share a machine.
+            return base, open_socket(f'{base}.0.1', STORE_PORT)
+    raise OSError('every network of a run is in use')
+
+
 async def join_instance(fleet: Fleet, number: int, domain: str) -> None:
     """Set up an instance with its relays, and keep its process running."""
     place = Place(f'n-{number}', domain)
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -50,6 +50,8 @@
         'cut_one_way': (0.5, 4, 2),
         'crash_upstream': (0, 0, 2),
         'restart_upstream': (0, 0, 1),
+        # Only in cases: no instance can know of it.
+        'restart_unseen': (0, 0, 0),
         'pause_upstream': (0.5, 4, 2),
         'drain_upstream': (5, 7, 3),
         'add_upstream': (4, 8, 3),
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -6,7 +6,7 @@
 
 from bench.ends.hosts import Host, State, crash_host
 from marlbend.clock import steady_seconds
-from soak.judge import LEAVE_SECONDS, take_out
+from soak.judge import CONTACT_SECONDS, CORE, LEAVE_SECONDS, take_out
 from soak.parties import disturbing, pick_spare
 from soak.schedule import Step
 from soak.world import (
@@ -25,6 +25,7 @@
     'crash_upstream',
     'drain_upstream',
     'pause_upstream',
+    'restart_unseen',
     'restart_upstream',
     'reuse_address',
 )
@@ -33,6 +34,7 @@
 EXPIRY_SECONDS: Final = 3.6
 COLD_SECONDS: Final = 6.0
 REUSE_SECONDS: Final = 2.0
+POLL_SECONDS: Final = 0.05
 
 
 async def crash_upstream(world: World, step: Step, random: Random) -> None:
@@ -48,13 +50,28 @@
 
 
 async def restart_upstream(world: World, step: Step, random: Random) -> None:
-    """Start an upstream again under its name; its flows are gone."""
+    """Start an upstream again under its name, once the store can say so.
+
+    Its flows are gone and it is cold, which nothing else tells.
+    """
+    await _restart(world, random, CONTACT_SECONDS)
+
+
+async def restart_unseen(world: World, step: Step, random: Random) -> None:
+    """Start an upstream again, whether the store is well or not."""
+    await _restart(world, random, 0)
+
+
+async def _restart(world: World, random: Random, calm_seconds: float) -> None:
+    """Start an upstream again when the store has been well for so long."""
     host = pick_spare(world, random)
     if host is None:
         return
     async with disturbing(world, host.name):
         crash_host(host)
         await asyncio.sleep(1)
+        while calm_seconds and not world.judge.peace.holds(calm_seconds, CORE):
+            await asyncio.sleep(POLL_SECONDS)
         host.born += 1
         host.state = State.READY
         host.cold_until = steady_seconds() + COLD_SECONDS
--- a/soak/world.py
+++ b/soak/world.py
@@ -5,7 +5,6 @@
 
 import asyncio
 import json
-import os
 import pathlib
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
@@ -51,6 +50,7 @@
     choose_instance,
     end_fleet,
     join_instance,
+    take_network,
 )
 from soak.judge import (
     CONTACT_SECONDS,
@@ -101,8 +101,6 @@
 HOSTS_BY_SERVICE: Final = (('catalog', 6), ('survey', 3))
 # New flows a second that a cold upstream bears.
 COLD_RATE: Final = 1.0
-FIRST_NETWORK: Final = 16
-NETWORKS: Final = 200
 # Upstreams know their packets by the number at the end.
 NAME: Final = 'h-{:012x}'
 _MILLISECONDS: Final = 1000
@@ -138,15 +136,14 @@
     folder: pathlib.Path,
 ) -> AsyncIterator[World]:
     """Run everything but callers and faults."""
-    # Several runs may share a machine.
-    network = FIRST_NETWORK + os.getpid() % NETWORKS
-    base = f'127.{network}'
+    base, held = take_network()
     application = make_application()
     runner = web.AppRunner(application, access_log=None)
     await runner.setup()
     await web.TCPSite(runner, f'{base}.6.1', STORE_PORT).start()
     world = _make_world(application[STORE_KEY], base, schedule.seed, folder)
     async with AsyncExitStack() as stack:
+        stack.callback(held.close)
         stack.push_async_callback(runner.cleanup)
         stack.push_async_callback(_end_world, world)
         await _fill_world(world, schedule)
