--- a/soak/platform.py
+++ b/soak/platform.py
@@ -4,8 +4,8 @@
 from random import Random
 from typing import Final
 
-from bench.ends.hosts import State
-from bench.store import Faults, set_faults
+from bench.ends.hosts import Host, State
+from bench.store import Faults, put_object, set_faults
 from marlbend.clock import steady_seconds
 from soak.judge import CORE, DOMAIN_SECONDS, take_out
 from soak.parties import Fault, disturbing, pick_hosts
@@ -64,7 +64,7 @@
         serving = pick_hosts(world)
         lapsed = random.sample(serving, len(serving) // 2)
         for host in lapsed:
-            await put(world, ('servers', host.name), None)
+            await _expire(world, host)
         await set_faults(world.store, Faults())
         await asyncio.sleep(random.uniform(0, RETURN_SECONDS))
         for host in lapsed:
@@ -72,6 +72,13 @@
                 await write_entry(world, host)
 
 
+async def _expire(world: World, host: Host) -> None:
+    """Remove a registration as the store does by itself."""
+    path = ('servers', host.name)
+    if path in world.store.by_path:
+        await put_object(world.store, path, None)
+
+
 async def spoil_entry(world: World, step: Step, random: Random) -> None:
     """Let another writer leave what is no registration."""
     number = random.randrange(NAMES)
