--- a/marlbend/edge/changes.py
+++ b/marlbend/edge/changes.py
@@ -31,13 +31,11 @@
 )
 from marlbend.steering.recent import keep_changes
 from marlbend.steering.state import Steering
-from marlbend.wire.beats import Beat, ChangesNews
+from marlbend.wire.beats import ChangesNews
 
-__all__ = ('encode_changes', 'take_told_changes')
+__all__ = ('NEVER', 'encode_changes', 'take_told_changes')
 
-# How old an earlier revision may have been when it was passed on.
-EARLIER_SECONDS: Final = 1.0
-_MILLISECONDS: Final = 1000
+NEVER: Final = float('-inf')
 
 _ENCODER: Final = msgspec.msgpack.Encoder()
 _PUBLICATIONS: Final = msgspec.msgpack.Decoder(dict[str, Publication | None])
@@ -62,15 +60,16 @@
 def take_told_changes(
     steering: Steering,
     news: News,
-    beat: Beat,
+    told: Iterable[ChangesNews],
     now: float,
 ) -> bool:
-    """Take the changes in a beat that follow what is known.
+    """Take the changes that follow what is known; tell if there were any.
 
-    Keep them to be passed on, and tell if there were any.
+    They are kept to be passed on.  How old the knowledge is then is told
+    elsewhere.
     """
     taken = False
-    for changes in sorted(beat.changes, key=_until_of):
+    for changes in sorted(told, key=_until_of):
         if not follows(news, changes):
             continue
         topic = Topic(changes.topic)
@@ -78,9 +77,9 @@
             _TAKE_BY_TOPIC[topic](steering, changes.body)
         except msgspec.DecodeError as error:
             # The whole topic is fetched, as its revision is not known here.
-            emit(Event.FETCH_FAILED, peer=beat.members[0].name, error=error)
+            emit(Event.FETCH_FAILED, peer=topic.name, error=error)
             continue
-        note_read(news, topic, changes.until, now - _find_age(beat, changes))
+        note_read(news, topic, changes.until, NEVER)
         keep_changes(news.recent, changes, now)
         taken = True
     return taken
@@ -127,17 +126,6 @@
     return changes.until
 
 
-def _find_age(beat: Beat, changes: ChangesNews) -> float:
-    """Return how old the sender's knowledge of a topic is, in seconds.
-
-    It is told of the sender's own revision; an earlier one may be older.
-    """
-    for told in beat.topics:
-        if told.topic == changes.topic and told.revision == changes.until:
-            return told.age / _MILLISECONDS
-    return EARLIER_SECONDS
-
-
 _Describe = Callable[[StoredObject, bool], object]
 _Take = Callable[[Steering, bytes], None]
 
--- a/marlbend/edge/peers.py
+++ b/marlbend/edge/peers.py
@@ -16,10 +16,10 @@
     encode_whole,
     take_whole,
 )
-from marlbend.edge.changes import take_told_changes
+from marlbend.edge.changes import NEVER, take_told_changes
 from marlbend.errors import MarlbendError
 from marlbend.events import Event, emit
-from marlbend.http import Answer, Connection, Page
+from marlbend.http import Answer, Connection, Page, PageMaker
 from marlbend.steering.evidence import note_life
 from marlbend.steering.failing import adopt_pause, fade_counts
 from marlbend.steering.members import choose_targets, forget_silent
@@ -30,7 +30,7 @@
     merge_news,
     note_read,
 )
-from marlbend.steering.recent import keep_changes
+from marlbend.steering.recent import keep_changes, list_since
 from marlbend.steering.state import Steering
 from marlbend.steering.upstreams import Told, Upstream
 from marlbend.steering.verdicts import count_busy, review_domain
@@ -72,14 +72,20 @@
 _MILLISECONDS: Final = 1000
 _OK: Final = 200
 _PATH: Final = '/beliefs/{topic}'
+_SINCE: Final = 'since='
 
 
 class _Told(msgspec.Struct, array_like=True, frozen=True):
-    """Carry all that an instance knows of a topic, and how old it is."""
+    """Carry what an instance knows of a topic, and how old that is.
+
+    With `changes`, which lead to the revision from the one asked about, the
+    rest is empty.
+    """
 
     revision: int
     age: int
     whole: bytes
+    changes: tuple[ChangesNews, ...] = ()
 
 
 @final
@@ -187,7 +193,7 @@
         return
     now = steady_seconds()
     told = beat.members[0]
-    if take_told_changes(peers.steering, peers.news, beat, now):
+    if take_told_changes(peers.steering, peers.news, beat.changes, now):
         spread_news(peers)
     for topic in merge_news(peers.news, beat, now):
         if topic not in peers.fetching:
@@ -210,20 +216,14 @@
     return spread
 
 
-def make_pages(peers: Peers) -> dict[str, Callable[[], Page]]:
+def make_pages(peers: Peers) -> dict[str, PageMaker]:
     """Return the pages that serve what this instance knows."""
 
-    def page_of(topic: Topic) -> Callable[[], Page]:
-        def answer() -> Page:
-            news = peers.news
-            age = steady_seconds() - news.confirmed_by_topic[topic]
-            if not news.revision_by_topic[topic]:
+    def page_of(topic: Topic) -> PageMaker:
+        def answer(query: str) -> Page:
+            if not peers.news.revision_by_topic[topic]:
                 return 503, 'text/plain', b''
-            told = _Told(
-                news.revision_by_topic[topic],
-                int(age * _MILLISECONDS),
-                encode_whole(peers.steering, topic),
-            )
+            told = _describe_topic(peers, topic, query)
             return _OK, 'application/msgpack', msgspec.msgpack.encode(told)
 
         return answer
@@ -231,12 +231,27 @@
     return {_PATH.format(topic=int(topic)): page_of(topic) for topic in Topic}
 
 
+def _describe_topic(peers: Peers, topic: Topic, query: str) -> _Told:
+    """Return the changes since the revision in a query, or all."""
+    news = peers.news
+    revision = news.revision_by_topic[topic]
+    age = steady_seconds() - news.confirmed_by_topic[topic]
+    known = query.removeprefix(_SINCE)
+    changes: tuple[ChangesNews, ...] = ()
+    if known.isdecimal():
+        changes = list_since(news.recent, topic, int(known), revision)
+    whole = b'' if changes else encode_whole(peers.steering, topic)
+    return _Told(revision, int(age * _MILLISECONDS), whole, changes)
+
+
 async def _fetch(peers: Peers, topic: Topic, sender: Address) -> None:
     connection = Connection(sender)
     path = _PATH.format(topic=int(topic))
+    known = peers.news.revision_by_topic[topic]
+    target = f'{path}?{_SINCE}{known}'
     try:
         _take_answer(
-            peers, topic, await connection.call('GET', path, FETCH_SECONDS)
+            peers, topic, await connection.call('GET', target, FETCH_SECONDS)
         )
     except (MarlbendError, msgspec.DecodeError) as error:
         emit(Event.FETCH_FAILED, peer=sender[0], error=error)
@@ -251,9 +266,15 @@
     told = msgspec.msgpack.decode(answer.body, type=_Told)
     if told.revision <= peers.news.revision_by_topic[topic]:
         return
-    take_whole(peers.steering, topic, decode_whole(topic, told.whole))
-    confirmed = steady_seconds() - told.age / _MILLISECONDS
-    note_read(peers.news, topic, told.revision, confirmed)
+    now = steady_seconds()
+    if told.changes:
+        take_told_changes(peers.steering, peers.news, told.changes, now)
+    else:
+        take_whole(peers.steering, topic, decode_whole(topic, told.whole))
+        note_read(peers.news, topic, told.revision, NEVER)
+    if peers.news.revision_by_topic[topic] == told.revision:
+        confirmed = now - told.age / _MILLISECONDS
+        note_read(peers.news, topic, told.revision, confirmed)
     spread_news(peers)
 
 
--- a/marlbend/edge/wiring.py
+++ b/marlbend/edge/wiring.py
@@ -31,7 +31,7 @@
 from marlbend.edge.telling import make_teller
 from marlbend.errors import MarlbendError
 from marlbend.events import Event, emit
-from marlbend.http import Connection, Page, serve_pages
+from marlbend.http import Connection, Page, PageMaker, serve_pages
 from marlbend.options import CookieSettings, Settings, split_endpoint
 from marlbend.platform.client import split_url
 from marlbend.platform.header import address_packet, make_reset, read_packet
@@ -118,19 +118,19 @@
     cookie = reloading.cookie
     peers = reloading.peers
 
-    def ready() -> Page:
+    def ready(query: str) -> Page:
         serving = peers.steering.ready and not stop.is_set()
         return (_OK if serving else _UNAVAILABLE), 'text/plain', b''
 
-    def status() -> Page:
+    def status(query: str) -> Page:
         return _OK, 'application/json', msgspec.json.encode(describe(peers))
 
-    def metrics() -> Page:
+    def metrics(query: str) -> Page:
         return render_metrics(
             peers, peers.steering.learned.handshakes.latencies
         )
 
-    pages_by_endpoint = {
+    pages_by_endpoint: dict[tuple[str, int], dict[str, PageMaker]] = {
         split_endpoint(cookie.ready): {READY_PATH: ready},
         split_endpoint(cookie.control): {
             **make_pages(peers),
--- a/marlbend/http/server.py
+++ b/marlbend/http/server.py
@@ -9,7 +9,7 @@
 
 from marlbend.sockets import bind_error
 
-__all__ = ('Page', 'serve_pages')
+__all__ = ('Page', 'PageMaker', 'serve_pages')
 
 _CHUNK_BYTES: Final = 16_384
 _IDLE_SECONDS: Final = 30.0
@@ -24,6 +24,8 @@
 
 # Status, content type and body.
 Page = tuple[int, str, bytes]
+# Makes a page from the query of a request, empty if it has none.
+PageMaker = Callable[[str], Page]
 
 
 @final
@@ -48,7 +50,7 @@
 
 async def serve_pages(
     address: tuple[str, int],
-    pages: Mapping[str, Callable[[], Page]],
+    pages: Mapping[str, PageMaker],
 ) -> asyncio.Server:
     """Serve the pages by path; the connection is kept between requests.
 
@@ -79,7 +81,7 @@
 async def _answer_all(
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
-    pages: Mapping[str, Callable[[], Page]],
+    pages: Mapping[str, PageMaker],
 ) -> None:
     collector = _Collector()
     parser = httptools.HttpRequestParser(collector)
@@ -90,15 +92,18 @@
             return
         parser.feed_data(chunk)
         for path in collector.complete:
-            writer.write(_render(path.partition('?')[0], pages))
+            writer.write(_render(path, pages))
         collector.complete.clear()
         async with asyncio.timeout(_IDLE_SECONDS):
             await writer.drain()
 
 
-def _render(path: str, pages: Mapping[str, Callable[[], Page]]) -> bytes:
+def _render(target: str, pages: Mapping[str, PageMaker]) -> bytes:
+    path, _, query = target.partition('?')
     page = pages.get(path)
-    status, kind, body = page() if page else (_NOT_FOUND, 'text/plain', b'')
+    status, kind, body = _NOT_FOUND, 'text/plain', b''
+    if page is not None:
+        status, kind, body = page(query)
     head = _HEAD.format(
         status=status, reason=_REASONS[status], kind=kind, size=len(body)
     )
--- a/marlbend/steering/recent.py
+++ b/marlbend/steering/recent.py
@@ -10,27 +10,33 @@
 
 from marlbend.wire.beats import ChangesNews
 
-__all__ = ('RecentChanges', 'keep_changes', 'list_changes')
+__all__ = ('RecentChanges', 'keep_changes', 'list_changes', 'list_since')
 
 # Changes are told for two beats beside the one that goes out at once; twelve
 # copies from each instance that hears of them reach all but a few.
 TOLD_SECONDS: Final = 0.5
 # What a datagram of 9 kB has to spare beside members and upstreams.
-CHANGES_BYTES: Final = 3_000
-CHANGES_KEPT: Final = 16
+TOLD_BYTES: Final = 3_000
+# What is kept for those who ask: a minute in which one of thousands of
+# upstreams changes ten times a second.
+KEPT_BYTES: Final = 64_000
 
 Kept = tuple[float, ChangesNews]
 
 
 @final
 class RecentChanges:
-    """Hold the latest changes, each with when it was learned."""
+    """Hold the latest changes, each with when it was learned.
 
-    __slots__ = ('kept',)
+    `size` is the bytes of them all.
+    """
+
+    __slots__ = ('kept', 'size')
 
     def __init__(self) -> None:
         """Start without a change."""
-        self.kept: deque[Kept] = deque(maxlen=CHANGES_KEPT)
+        self.kept: deque[Kept] = deque()
+        self.size = 0
 
 
 def keep_changes(
@@ -38,19 +44,40 @@
     changes: ChangesNews,
     now: float,
 ) -> None:
-    """Keep changes, unless they are none or too long for a datagram.
-
-    Whoever needs those fetches the whole topic.
-    """
-    if changes.since < changes.until and len(changes.body) <= CHANGES_BYTES:
-        recent.kept.append((now, changes))
+    """Keep changes, if there are any, and forget the oldest ones."""
+    if changes.since >= changes.until:
+        return
+    recent.kept.append((now, changes))
+    recent.size += len(changes.body)
+    while recent.size > KEPT_BYTES:
+        _, oldest = recent.kept.popleft()
+        recent.size -= len(oldest.body)
 
 
 def list_changes(recent: RecentChanges, now: float) -> Iterator[ChangesNews]:
     """Yield the changes of just now, as many as a datagram holds."""
-    left = CHANGES_BYTES
+    left = TOLD_BYTES
     for learned, changes in recent.kept:
         if now - learned < TOLD_SECONDS:
             left -= len(changes.body)
             if left >= 0:
                 yield changes
+
+
+def list_since(
+    recent: RecentChanges,
+    topic: int,
+    since: int,
+    until: int,
+) -> tuple[ChangesNews, ...]:
+    """Return the changes of a topic from one revision to another.
+
+    Return nothing if some of them are not kept.
+    """
+    found: list[ChangesNews] = []
+    reached = since
+    for _, changes in recent.kept:
+        if changes.topic == topic and changes.since <= reached < changes.until:
+            found.append(changes)
+            reached = changes.until
+    return tuple(found) if reached == until else ()
--- a/marlbend/test/edge.py
+++ b/marlbend/test/edge.py
@@ -23,6 +23,7 @@
 from marlbend.steering import Place, Steering, Ways
 from marlbend.steering.members import Member
 from marlbend.steering.news import News, Topic
+from marlbend.steering.recent import keep_changes
 from marlbend.wire.beats import ChangesNews, MemberNews
 
 __all__ = ('Fleet', 'Instance', 'until', 'with_fleet')
@@ -65,6 +66,7 @@
         self.tasks: list[asyncio.Task[None]] = []
         self.server: asyncio.Server | None = None
         self.spreading = False
+        self.keeping = False
 
     async def start(self) -> None:
         """Start reading, beating and following."""
@@ -85,6 +87,8 @@
         """Tell others of changes, unless they are to find out by themselves."""
         if self.spreading:
             make_spread(self.peers)(changes)
+        elif self.keeping:
+            keep_changes(self.news.recent, changes, 0)
 
     async def stop(self) -> None:
         """Stop at once, without a word."""
--- a/marlbend/test/test_edge.py
+++ b/marlbend/test/test_edge.py
@@ -24,8 +24,13 @@
     merge_news,
     note_read,
 )
-from marlbend.steering.recent import keep_changes, list_changes
+from marlbend.steering.recent import (
+    keep_changes,
+    list_changes,
+    list_since,
+)
 from marlbend.steering.state import STAYS_OUT
+from marlbend.steering.upstreams import end_upstream
 from marlbend.test.edge import (
     PATIENCE,
     Fleet,
@@ -350,7 +355,7 @@
     later, earlier = (
         make_change(since, until, f'i-{until}') for since, until in PAIRS
     )
-    assert not take_told_changes(steering, news, tell(later, earlier), 100)
+    assert not take_told_changes(steering, news, (later, earlier), 100)
     assert not steering.pool.by_name
     assert news.revision_by_topic[Topic.UPSTREAMS] == 5
 
@@ -359,8 +364,8 @@
     steering = make_steering()
     news = make_known_news(5)
     first, second = make_change(4, 7, 'i-7'), make_change(7, 9, 'i-9')
-    assert take_told_changes(steering, news, tell(second, first), 100)
-    assert not take_told_changes(steering, news, tell(second, first), 100)
+    assert take_told_changes(steering, news, (second, first), 100)
+    assert not take_told_changes(steering, news, (second, first), 100)
     assert set(steering.pool.by_name) == {'i-7', 'i-9'}
     assert news.revision_by_topic[Topic.UPSTREAMS] == 9
     kept = list(list_changes(news.recent, 100))
@@ -372,16 +377,48 @@
     steering = make_steering()
     news = make_known_news(5)
     spoiled = ChangesNews(Topic.UPSTREAMS, 5, 7, b'\xc1')
-    take_told_changes(steering, news, tell(spoiled), 100)
+    take_told_changes(steering, news, (spoiled,), 100)
     beat = Beat(TELLER, (TopicNews(Topic.UPSTREAMS, 7, 0),))
     assert merge_news(news, beat, 100) == [Topic.UPSTREAMS]
 
 
-def test_long_changes_are_not_passed_on() -> None:
+def test_long_changes_are_told_to_those_who_ask_only() -> None:
     news = make_known_news(5)
     long = ChangesNews(Topic.UPSTREAMS, 5, 7, bytes(10_000))
     keep_changes(news.recent, long, 100)
     assert not list(list_changes(news.recent, 100))
+    assert list_since(news.recent, Topic.UPSTREAMS, 5, 7) == (long,)
+
+
+def test_changes_are_kept_within_bounds() -> None:
+    news = make_known_news(5)
+    for number in range(100):
+        change = ChangesNews(Topic.UPSTREAMS, number, number + 1, bytes(1000))
+        keep_changes(news.recent, change, 100)
+    assert len(news.recent.kept) == 64
+    assert not list_since(news.recent, Topic.UPSTREAMS, 0, 100)
+    assert len(list_since(news.recent, Topic.UPSTREAMS, 90, 100)) == 10
+    assert not list_since(news.recent, Topic.UPSTREAMS, 90, 101)
+    assert not list_since(news.recent, Topic.CONFIGURATION, 90, 100)
+
+
+def test_who_missed_a_change_fetches_changes_and_not_the_whole() -> None:
+    """The whole of the teller is not what the store holds, to tell them apart.
+
+    Nobody passes changes on here, so that they have to be fetched.
+    """
+
+    async def work(fleet: Fleet) -> None:
+        reader = await fleet.add('n1')
+        other = await fleet.add('n2', '127.9.2.1', store=AWAY)
+        await until(lambda: other.upstreams == {'i-1'})
+        end_upstream(reader.steering.pool, 'i-1', steady_seconds())
+        reader.keeping = True
+        for name in ('i-2', 'i-3'):
+            await fleet.register(name)
+        await until(lambda: other.upstreams == {'i-1', 'i-2', 'i-3'})
+
+    with_fleet(work)
 
 
 def test_members_are_described_first_and_then_named_by_rank() -> None:
@@ -444,10 +481,6 @@
     return ChangesNews(Topic.UPSTREAMS, since, until, body)
 
 
-def tell(*changes: ChangesNews) -> Beat:
-    return Beat(TELLER, changes=changes)
-
-
 @settings(max_examples=100, deadline=None, derandomize=True)
 @given(strategies.binary(max_size=200), strategies.integers(0, 400))
 def test_any_datagram_on_the_control_port_is_taken(
