--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -42,8 +42,8 @@
 RESTART_SECONDS: Final = 0.5
 POLL_SECONDS: Final = 0.5
 MISSES: Final = 2
-# Seeds are the first instances.
-SEEDS: Final = 4
+# The first instances are seeds.
+SEEDS: Final = 3
 # The platform kills a process that has not stopped by then.
 GRACE_SECONDS: Final = 6.0
 _READY: Final = 200
@@ -147,7 +147,8 @@
             'control': f'{address}:{CONTROL_PORT}',
             'advertised': f'{base}.2.{number}:{CONTROL_PORT}',
             'seeds': [
-                f'{base}.2.{seed}:{CONTROL_PORT}' for seed in range(1, SEEDS)
+                f'{base}.2.{seed}:{CONTROL_PORT}'
+                for seed in range(1, SEEDS + 1)
             ],
             'stop_seconds': GRACE_SECONDS,
         },
