--- a/marlbend/steering/verdicts.py
+++ b/marlbend/steering/verdicts.py
@@ -15,16 +15,17 @@
 __all__ = ('count_busy', 'is_suspected', 'review_domain', 'seems_dead')
 
 # A reset of an open flow needs silence in so many flows, and no sign of life
-# for as long as two repeats of a caller take.
+# for longer than packets wait at a choked link, half a second, before the
+# platform counts it as slow, after a caller's repeat at 0.2 s.
 DEAD_SILENCES: Final = 3
-DEAD_SECONDS: Final = 0.4
+DEAD_SECONDS: Final = 0.8
 # Silence that was not seen again for this long may be over; it is half of the
 # time for which the platform counts an upstream as disrupted.
 FRESH_SECONDS: Final = 2.0
 # A partition shows on so many upstreams of the other domain; a busy upstream
-# alone is no partition.  Flows are given up a caller's repeat later.
+# alone is no partition.  A choked link alone is over half a second later.
 CUT_UPSTREAMS: Final = 2
-CUT_SECONDS: Final = 0.2
+CUT_SECONDS: Final = 0.6
 # Beats come four times a second; one may be lost.
 TOLD_SECONDS: Final = 1.0
 # One lost datagram of another instance is no reason to avoid an upstream.
