--- a/bench/child.py
+++ b/bench/child.py
@@ -9,15 +9,20 @@
 import sys
 from typing import Final
 
-__all__ = ('run',)
+__all__ = ('end_with_parent', 'run')
 
 # From <sys/prctl.h>: the signal a process gets when its parent ends.
 _PR_SET_PDEATHSIG: Final = 1
 
 
+def end_with_parent() -> None:
+    """Let this process be killed when the one that started it ends."""
+    ctypes.CDLL(None).prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 def run() -> None:
     """Run the module named first, with the arguments that follow."""
-    ctypes.CDLL(None).prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
+    end_with_parent()
     module = sys.argv.pop(1)
     runpy.run_module(module, run_name='__main__', alter_sys=True)
 
--- a/bench/placing.py
+++ b/bench/placing.py
@@ -166,7 +166,8 @@
 def replay_arrivals(seed: int, way: Way) -> PlacingFigures:
     """Replay the arrivals of a seed in one way."""
     field = Field(seed)
-    for came, instance, requests in _draw_arrivals(seed):
+    arrivals = list(_draw_arrivals(seed))
+    for came, instance, requests in arrivals:
         _plan(field, came, _arrival(field, way, instance, requests))
     if way.targets:
         for instance in range(INSTANCES):
@@ -178,7 +179,7 @@
             break
         field.now = at
         act()
-    return _sum_up(field, len(list(_draw_arrivals(seed))))
+    return _sum_up(field, len(arrivals))
 
 
 def _sum_up(field: Field, flows: int) -> PlacingFigures:
--- a/marlbend/edge/beliefs.py
+++ b/marlbend/edge/beliefs.py
@@ -13,6 +13,7 @@
 from marlbend.events import Event, emit
 from marlbend.platform.objects import (
     CONFIG_NAME,
+    ObjectChange,
     StoredObject,
     read_publication,
     read_upstream,
@@ -30,7 +31,6 @@
 
 __all__ = (
     'LISTED',
-    'Change',
     'decode_whole',
     'encode_whole',
     'take_changes',
@@ -41,7 +41,6 @@
     'take_whole',
 )
 
-Change = tuple[StoredObject, bool]
 Take = Callable[[Steering, StoredObject, bool], None]
 Whole = Publication | tuple[UpstreamEntry, ...] | tuple[str, ...]
 
@@ -75,7 +74,7 @@
 def take_changes(
     steering: Steering,
     topic: Topic,
-    changes: Iterable[Change],
+    changes: Iterable[ObjectChange],
 ) -> None:
     """Take single objects, each with whether it was deleted."""
     take = _TAKE_BY_TOPIC[topic]
--- a/marlbend/edge/changes.py
+++ b/marlbend/edge/changes.py
@@ -10,14 +10,15 @@
 
 import msgspec
 
+from marlbend.clock import steady_seconds
 from marlbend.edge.beliefs import (
-    Change,
     take_domains,
     take_entries,
     take_publication,
 )
 from marlbend.events import Event, emit
 from marlbend.platform.objects import (
+    ObjectChange,
     StoredObject,
     read_publication,
     read_upstream,
@@ -27,15 +28,13 @@
     News,
     Topic,
     follows,
-    note_read,
+    note_revision,
 )
 from marlbend.steering.recent import keep_changes
 from marlbend.steering.state import Steering
 from marlbend.wire.beats import ChangesNews
 
-__all__ = ('NEVER', 'encode_changes', 'take_told_changes')
-
-NEVER: Final = float('-inf')
+__all__ = ('encode_changes', 'take_told_changes')
 
 _ENCODER: Final = msgspec.msgpack.Encoder()
 _PUBLICATIONS: Final = msgspec.msgpack.Decoder(dict[str, Publication | None])
@@ -43,7 +42,7 @@
 _DOMAINS: Final = msgspec.msgpack.Decoder(dict[str, bool])
 
 
-def encode_changes(topic: Topic, changes: Iterable[Change]) -> bytes:
+def encode_changes(topic: Topic, changes: Iterable[ObjectChange]) -> bytes:
     """Return changes of a topic, for other instances.
 
     Of several changes of one object the last one counts.
@@ -61,12 +60,11 @@
     steering: Steering,
     news: News,
     told: Iterable[ChangesNews],
-    now: float,
+    teller: str,
 ) -> bool:
     """Take the changes that follow what is known; tell if there were any.
 
-    They are kept to be passed on.  How old the knowledge is then is told
-    elsewhere.
+    `teller` is who told them, for the log.  They are kept to be passed on.
     """
     taken = False
     for changes in sorted(told, key=_until_of):
@@ -77,10 +75,10 @@
             _TAKE_BY_TOPIC[topic](steering, changes.body)
         except msgspec.DecodeError as error:
             # The whole topic is fetched, as its revision is not known here.
-            emit(Event.FETCH_FAILED, peer=topic.name, error=error)
+            emit(Event.FETCH_FAILED, peer=teller, error=error)
             continue
-        note_read(news, topic, changes.until, NEVER)
-        keep_changes(news.recent, changes, now)
+        note_revision(news, topic, changes.until)
+        keep_changes(news.recent, changes, steady_seconds())
         taken = True
     return taken
 
--- a/marlbend/edge/follow.py
+++ b/marlbend/edge/follow.py
@@ -16,7 +16,6 @@
 from marlbend import messages
 from marlbend.clock import steady_seconds
 from marlbend.edge.beliefs import (
-    Change,
     take_changes,
     take_list,
 )
@@ -27,6 +26,7 @@
 from marlbend.http import Answer, Connection
 from marlbend.platform.client import expect_status
 from marlbend.platform.objects import (
+    ObjectChange,
     StoredObject,
     read_changes,
     read_page,
@@ -195,7 +195,7 @@
     feed: Feed,
     since: int,
     until: int,
-    changes: Iterable[Change],
+    changes: Iterable[ObjectChange],
 ) -> ChangesNews:
     body = encode_changes(feed.topic, changes)
     return ChangesNews(feed.topic, since, until, body)
--- a/marlbend/edge/peers.py
+++ b/marlbend/edge/peers.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from typing import Final, final
 
 import msgspec
@@ -16,12 +16,11 @@
     encode_whole,
     take_whole,
 )
-from marlbend.edge.changes import NEVER, take_told_changes
+from marlbend.edge.changes import take_told_changes
+from marlbend.edge.loads import take_upstream_news, tell_far, tell_near
 from marlbend.errors import MarlbendError
 from marlbend.events import Event, emit
 from marlbend.http import Answer, Connection, Page, PageMaker
-from marlbend.steering.evidence import note_life
-from marlbend.steering.failing import adopt_pause, fade_counts
 from marlbend.steering.members import choose_targets, forget_silent
 from marlbend.steering.news import (
     News,
@@ -29,16 +28,13 @@
     make_beat,
     merge_news,
     note_read,
+    note_revision,
 )
 from marlbend.steering.recent import keep_changes, list_since
 from marlbend.steering.state import Steering
-from marlbend.steering.upstreams import Told, Upstream
-from marlbend.steering.verdicts import count_busy, review_domain
 from marlbend.wire.beats import (
     Beat,
     ChangesNews,
-    MemberNews,
-    UpstreamNews,
     decode_beat,
     encode_beat,
 )
@@ -67,8 +63,6 @@
 ALARM_TARGETS: Final = 32
 # What is found out within this time goes with the next beat.
 ALARM_SECONDS: Final = 0.03
-# Silence of an upstream is told for this long.
-SILENCE_SECONDS: Final = 2.0
 _MILLISECONDS: Final = 1000
 _OK: Final = 200
 _PATH: Final = '/beliefs/{topic}'
@@ -193,7 +187,7 @@
         return
     now = steady_seconds()
     told = beat.members[0]
-    if take_told_changes(peers.steering, peers.news, beat.changes, now):
+    if take_told_changes(peers.steering, peers.news, beat.changes, told.name):
         spread_news(peers)
     for topic in merge_news(peers.news, beat, now):
         if topic not in peers.fetching:
@@ -201,7 +195,7 @@
             task = asyncio.create_task(_fetch(peers, topic, sender))
             peers.tasks.add(task)
             task.add_done_callback(peers.tasks.discard)
-    _take_upstream_news(peers.steering, told, beat, now)
+    take_upstream_news(peers.steering, told, beat, now)
     if beat.answer:
         peers.send(_encode(peers, told.domain, in_full=True), sender)
 
@@ -251,7 +245,10 @@
     target = f'{path}?{_SINCE}{known}'
     try:
         _take_answer(
-            peers, topic, await connection.call('GET', target, FETCH_SECONDS)
+            peers,
+            topic,
+            await connection.call('GET', target, FETCH_SECONDS),
+            sender,
         )
     except (MarlbendError, msgspec.DecodeError) as error:
         emit(Event.FETCH_FAILED, peer=sender[0], error=error)
@@ -260,7 +257,12 @@
         peers.fetching.discard(topic)
 
 
-def _take_answer(peers: Peers, topic: Topic, answer: Answer) -> None:
+def _take_answer(
+    peers: Peers,
+    topic: Topic,
+    answer: Answer,
+    sender: Address,
+) -> None:
     if answer.status != _OK:
         return
     told = msgspec.msgpack.decode(answer.body, type=_Told)
@@ -268,10 +270,10 @@
         return
     now = steady_seconds()
     if told.changes:
-        take_told_changes(peers.steering, peers.news, told.changes, now)
+        take_told_changes(peers.steering, peers.news, told.changes, sender[0])
     else:
         take_whole(peers.steering, topic, decode_whole(topic, told.whole))
-        note_read(peers.news, topic, told.revision, NEVER)
+        note_revision(peers.news, topic, told.revision)
     if peers.news.revision_by_topic[topic] == told.revision:
         confirmed = now - told.age / _MILLISECONDS
         note_read(peers.news, topic, told.revision, confirmed)
@@ -290,103 +292,9 @@
     steering = peers.steering
     beat = make_beat(peers.news, steering.random, now, in_full=in_full)
     if domain == peers.news.myself.domain:
-        upstreams = tuple(_tell_upstreams(steering, now))
+        upstreams = tuple(tell_near(steering, now))
     else:
-        upstreams = tuple(_tell_far(steering, domain, now))
+        upstreams = tuple(tell_far(steering, domain, now))
     return encode_beat(
         msgspec.structs.replace(beat, upstreams=upstreams, answer=answer)
     )
-
-
-def _tell_upstreams(steering: Steering, now: float) -> Iterator[UpstreamNews]:
-    for known in steering.pool.by_name.values():
-        recent = now - known.signs.silent_at < SILENCE_SECONDS
-        fade_counts(known, now)
-        avoided = known.served.avoided_until > now
-        if known.busy or recent or avoided or known.served.answers >= 1:
-            silences = known.signs.silences if recent else 0
-            yield UpstreamNews(
-                known.cookie,
-                known.busy,
-                silences,
-                _age(known.signs.silent_since, now) if silences else -1,
-                _age(known.signs.life_at, now),
-                round(known.served.answers),
-                round(known.served.shorts),
-                max(int((known.served.avoided_until - now) * _MILLISECONDS), 0),
-            )
-
-
-def _tell_far(
-    steering: Steering,
-    domain: str,
-    now: float,
-) -> Iterator[UpstreamNews]:
-    """Yield what concerns another domain.
-
-    Of the own domain's upstreams those are told that are silent, as who stands
-    beside one and hears nothing speaks for every path, and those that have no
-    slot free, with all that they have to do.  Of the other domain's upstreams
-    it is told what this instance lets them do.
-    """
-    for known in steering.pool.by_name.values():
-        if known.entry.domain == domain and known.busy:
-            yield UpstreamNews(known.cookie, known.busy, 0, -1, -1)
-        elif known.entry.domain == steering.place.domain:
-            yield from _tell_own(known, now)
-
-
-def _tell_own(known: Upstream, now: float) -> Iterator[UpstreamNews]:
-    recent = now - known.signs.silent_at < SILENCE_SECONDS
-    silences = known.signs.silences if recent else 0
-    busy = count_busy(known, now)
-    if silences or busy >= known.entry.slots:
-        since = _age(known.signs.silent_since, now) if silences else -1
-        yield UpstreamNews(known.cookie, busy, silences, since, -1)
-
-
-def _take_upstream_news(
-    steering: Steering,
-    teller: MemberNews,
-    beat: Beat,
-    now: float,
-) -> None:
-    steering.now = now
-    for news in beat.upstreams:
-        upstream = steering.pool.by_cookie.get(news.cookie)
-        if upstream is None:
-            continue
-        if steering.place.domain in {teller.domain, upstream.entry.domain}:
-            _take_one(steering, upstream, teller.name, news)
-        elif teller.domain == upstream.entry.domain:
-            upstream.far_busy = news.busy
-            upstream.far_at = now
-            own = msgspec.structs.replace(news, busy=0)
-            _take_one(steering, upstream, teller.name, own)
-
-
-def _take_one(
-    steering: Steering,
-    upstream: Upstream,
-    member: str,
-    news: UpstreamNews,
-) -> None:
-    now = steering.now
-    told = Told(now, news.busy)
-    if news.silences:
-        told.silences = news.silences
-        told.silent_since = now - news.silent_age / _MILLISECONDS
-    told.answers = news.answers
-    told.shorts = news.shorts
-    upstream.told_by_member[member] = told
-    if news.silences:
-        review_domain(steering, upstream.entry.domain)
-    if news.avoided:
-        adopt_pause(steering, upstream, news.avoided / _MILLISECONDS)
-    if news.life_age >= 0:
-        note_life(steering, upstream, now - news.life_age / _MILLISECONDS)
-
-
-def _age(moment: float, now: float) -> int:
-    """Return an age in milliseconds, -1 for what never happened."""
-    return int((now - moment) * _MILLISECONDS) if moment else -1
--- a/marlbend/platform/objects.py
+++ b/marlbend/platform/objects.py
@@ -22,7 +22,7 @@
 
 __all__ = (
     'CONFIG_NAME',
-    'Change',
+    'ObjectChange',
     'StoredObject',
     'host_number',
     'read_changes',
@@ -58,7 +58,7 @@
     status: msgspec.Raw = msgspec.Raw(b'null')
 
 
-class Change(msgspec.Struct):
+class _Change(msgspec.Struct):
     """Hold an object that was written, or as it was when it was deleted."""
 
     object: msgspec.Raw
@@ -76,7 +76,7 @@
 
 
 class _Changes(msgspec.Struct):
-    events: list[Change]
+    events: list[_Change]
     store_revision: int
 
 
--- a/marlbend/steering/failing.py
+++ b/marlbend/steering/failing.py
@@ -13,6 +13,7 @@
 from collections.abc import Iterable, Sequence
 from typing import Final
 
+from marlbend.steering.medians import follow_median
 from marlbend.steering.state import Steering, Typical
 from marlbend.steering.upstreams import Upstream
 
@@ -27,8 +28,6 @@
 # An answer below this share of the route's median is short.  Sizes of one
 # route spread by a factor of about two.
 SHORT_SHARE: Final = 0.4
-# The median moves by this share of itself with each answer.
-MEDIAN_STEP: Final = 0.05
 # Fewer answers say nothing of a route's median.
 KNOWN_ANSWERS: Final = 8
 # Counts fade by half in this time.
@@ -133,10 +132,8 @@
     typical.answers += 1
     if typical.answers == 1:
         typical.median = size
-    elif size > typical.median:
-        typical.median *= 1 + MEDIAN_STEP
     else:
-        typical.median *= 1 - MEDIAN_STEP
+        typical.median = follow_median(typical.median, size)
 
 
 def _share_of_all(
--- a/marlbend/steering/news.py
+++ b/marlbend/steering/news.py
@@ -3,7 +3,8 @@
 One instance reads the platform for all: the first by rank of those that live
 and whose calls succeed.  The others learn from beats which revision of each
 topic is the latest, how old that knowledge is, and what changed just now; who
-missed a change fetches the whole topic from whoever told of it.  An instance
+missed one fetches what changed since, or the whole topic, from whoever told of
+it.  An instance
 whose knowledge grows too old reads for itself, so nothing depends on the
 reader, or on instances agreeing who it is.
 
@@ -45,6 +46,7 @@
     'merge_news',
     'note_back',
     'note_read',
+    'note_revision',
 )
 
 # Of so many others a beat tells when they were heard; of the first few it says
@@ -114,6 +116,11 @@
     news.confirmed_by_topic[topic] = max(known, now)
 
 
+def note_revision(news: News, topic: Topic, revision: int) -> None:
+    """Note that a later revision is known, of an age that is told elsewhere."""
+    news.revision_by_topic[topic] = revision
+
+
 def note_back(news: News, topic: Topic, now: float) -> None:
     """Note that the platform answers again after a call that failed."""
     known = news.back_by_topic[topic]
--- a/marlbend/steering/refusing.py
+++ b/marlbend/steering/refusing.py
@@ -10,6 +10,7 @@
 from typing import Final
 
 from marlbend.steering.documents import RouteSpec
+from marlbend.steering.medians import follow_median
 from marlbend.steering.state import Pace, Steering
 from marlbend.steering.upstreams import Upstream
 from marlbend.steering.verdicts import count_busy
@@ -24,8 +25,6 @@
 FEWEST_A_SLOT: Final = 1.25
 # Each step of priority above the lowest of the service lets in so much more.
 PRIORITY_SHARE: Final = 0.5
-# The estimates move by this share of themselves with each request.
-WORK_STEP: Final = 0.05
 # Fewer requests say nothing of a service.
 KNOWN_REQUESTS: Final = 8
 
@@ -74,11 +73,5 @@
     if pace.requests == 1:
         pace.work = seconds
         pace.target = spec.target_seconds
-    pace.work = _approach(pace.work, seconds)
-    pace.target = _approach(pace.target, spec.target_seconds)
-
-
-def _approach(median: float, found: float) -> float:
-    if found > median:
-        return median * (1 + WORK_STEP)
-    return median * (1 - WORK_STEP)
+    pace.work = follow_median(pace.work, seconds)
+    pace.target = follow_median(pace.target, spec.target_seconds)
--- a/marlbend/test/test_soak.py
+++ b/marlbend/test/test_soak.py
@@ -23,6 +23,7 @@
 
 ENDPOINT = ('198.18.0.1', 443)
 OTHER = ('198.18.0.9', 443)
+PROCESS = ('n-1', 1)
 
 
 def make_judge(*services: str) -> Judge:
@@ -44,8 +45,7 @@
         'upstream': 'h-1',
         'service': service,
         'domain': 'a',
-        'instance': 'n-1',
-        'incarnation': ('n-1', 1),
+        'incarnation': PROCESS,
         **changes,
     }
     return Arrival(**parts)  # type: ignore[arg-type]
@@ -67,7 +67,7 @@
 def test_what_is_allowed_is_no_finding() -> None:
     judge = make_judge('catalog')
     judge_opening(judge, arrive())
-    judge_refusal(judge, arrive(endpoint=OTHER))
+    judge_refusal(judge, OTHER, steady_seconds(), PROCESS)
     assert not promises(judge)
 
 
@@ -82,15 +82,13 @@
     judge.peace.disturb(['n-1'])
     judge_opening(judge, arrive('survey'))
     assert not promises(judge)
-    judge_opening(
-        judge, arrive('survey', instance='n-2', incarnation=('n-2', 1))
-    )
+    judge_opening(judge, arrive('survey', incarnation=('n-2', 1)))
     assert promises(judge) == ['late']
 
 
 def test_refusal_of_a_route_that_is_long_there() -> None:
     judge = make_judge('catalog')
-    judge_refusal(judge, arrive())
+    judge_refusal(judge, ENDPOINT, steady_seconds(), PROCESS)
     assert promises(judge) == ['late']
 
 
--- a/soak/arrivals.py
+++ b/soak/arrivals.py
@@ -33,7 +33,7 @@
 async def send_load(world: World) -> None:
     """Start callers all the time."""
     number = 0
-    while not world.stopping:
+    while not world.fleet.stopping:
         for domain in DOMAINS:
             number += 1
             route = world.random.choice(
@@ -48,7 +48,7 @@
 
 async def send_probes(world: World) -> None:
     """Try new and dropped routes on each instance in turn."""
-    while not world.stopping:
+    while not world.fleet.stopping:
         for instance in tuple(world.fleet.by_name.values()):
             if not instance.misses:
                 work = _probe_once(world, instance.place.name)
--- a/soak/child.py
+++ b/soak/child.py
@@ -4,24 +4,19 @@
 named first holds, in seconds.  The process ends with the one that started it.
 """
 
-import ctypes
 import pathlib
-import signal
 import sys
 import time
-from typing import Final
 
+from bench.child import end_with_parent
 from marlbend import clock, main
 
 __all__ = ('run',)
 
-# From <sys/prctl.h>: the signal a process gets when its parent ends.
-_PR_SET_PDEATHSIG: Final = 1
-
 
 def run() -> None:
     """Run the daemon with the arguments after the first."""
-    ctypes.CDLL(None).prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
+    end_with_parent()
     shift = pathlib.Path(sys.argv.pop(1))
 
     def read_moved() -> float:
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -69,7 +69,7 @@
 class Arrival(msgspec.Struct, frozen=True):
     """Describe an opening packet that an upstream took.
 
-    `incarnation` names the instance that sent it on and its process.
+    `incarnation` is the instance that sent it on, and its process.
     """
 
     endpoint: Endpoint
@@ -77,7 +77,6 @@
     upstream: str
     service: str
     domain: str
-    instance: str
     incarnation: Incarnation
     cold_rate: float = 0
 
@@ -134,34 +133,44 @@
         for each in judge.releases
         if each.service_by_endpoint.get(arrival.endpoint) == arrival.service
     ]
-    where = f'{arrival.endpoint} at {arrival.upstream} by {arrival.instance}'
+    instance, _ = arrival.incarnation
+    where = f'{arrival.endpoint} at {arrival.upstream} by {instance}'
     if not allowed:
         report(judge, 'route', f'{where}: no release ever let it go there')
         return
-    if _is_in_touch(judge, arrival.instance):
+    if _is_in_touch(judge, instance):
         for name in (arrival.upstream, arrival.domain):
             if arrival.sent_at > judge.out_by_name.get(name, float('inf')):
                 report(judge, 'leaving', f'{where}: {name} is out')
-    _judge_versions(judge, arrival, [each.version for each in allowed], where)
+    versions = [each.version for each in allowed]
+    _judge_versions(
+        judge, arrival.sent_at, arrival.incarnation, (versions, where)
+    )
     if arrival.cold_rate:
         _judge_cold(judge, arrival)
 
 
-def judge_refusal(judge: Judge, arrival: Arrival) -> None:
+def judge_refusal(
+    judge: Judge,
+    endpoint: Endpoint,
+    sent_at: float,
+    incarnation: Incarnation,
+) -> None:
     """Judge a reset of an opening packet on a route that may be there.
 
-    `service` is the one that could have taken it; it has upstreams to spare,
-    which only an instance in touch has to know.
+    Its service has upstreams to spare, which only an instance in touch has to
+    know.
     """
-    if not _is_in_touch(judge, arrival.instance):
+    instance, _ = incarnation
+    if not _is_in_touch(judge, instance):
         return
     absent = [
         each.version
         for each in judge.releases
-        if arrival.endpoint not in each.service_by_endpoint
+        if endpoint not in each.service_by_endpoint
     ]
-    where = f'{arrival.endpoint} refused by {arrival.instance}'
-    _judge_versions(judge, arrival, [0, *absent], where)
+    where = f'{endpoint} refused by {instance}'
+    _judge_versions(judge, sent_at, incarnation, ([0, *absent], where))
 
 
 def judge_reset(judge: Judge, instance: str, upstream: str, text: str) -> None:
@@ -203,22 +212,22 @@
 
 def _judge_versions(
     judge: Judge,
-    arrival: Arrival,
-    allowed: list[int],
-    where: str,
+    sent_at: float,
+    incarnation: Incarnation,
+    effect: tuple[list[int], str],
 ) -> None:
-    """Judge that what allows an effect is no older than what must hold."""
+    """Judge that an effect is of a release no older than what must hold.
+
+    `effect` is the releases that allow it, and what to say of it.
+    """
+    allowed, where = effect
     newest = max(allowed)
-    if _is_in_touch(judge, arrival.instance):
-        due = max(_find_due(judge, arrival.sent_at), default=0)
+    if _is_in_touch(judge, incarnation[0]):
+        due = max(_find_due(judge, sent_at), default=0)
         if newest < due:
             report(judge, 'late', f'{where}: {newest} but {due} is due')
-    proven = judge.proven_by_incarnation.setdefault(arrival.incarnation, [])
-    seen = [
-        version
-        for at, version in proven
-        if at + SLACK_SECONDS < arrival.sent_at
-    ]
+    proven = judge.proven_by_incarnation.setdefault(incarnation, [])
+    seen = [version for at, version in proven if at + SLACK_SECONDS < sent_at]
     if newest < max(seen, default=0) and judge.peace.holds(0, MACHINE):
         report(judge, 'back', f'{where}: {newest} after {max(seen)}')
     oldest = min(allowed)
--- a/soak/machine.py
+++ b/soak/machine.py
@@ -21,7 +21,7 @@
     """Notice when this machine has no time for the processes of the run."""
     waited_by_pid: dict[int, float] = {}
     peace = world.judge.peace
-    while not world.stopping:
+    while not world.fleet.stopping:
         before = steady_seconds()
         await asyncio.sleep(SAMPLE_SECONDS)
         late = steady_seconds() - before - SAMPLE_SECONDS
--- a/soak/network.py
+++ b/soak/network.py
@@ -97,7 +97,7 @@
     *ends: tuple[str, str],
 ) -> AsyncIterator[None]:
     """Put a trouble on links; one that is there already stays."""
-    table = world.links.trouble_by_ends
+    table = world.fleet.links.trouble_by_ends
     fresh = [each for each in ends if each not in table]
     table.update(dict.fromkeys(fresh, trouble))
     try:
--- a/soak/world.py
+++ b/soak/world.py
@@ -118,8 +118,6 @@
 
     store: Store
     fleet: Fleet
-    judge: Judge
-    links: Links
     random: Random
     host_by_name: dict[str, Host] = {}
     hosts_made: int = 0
@@ -127,9 +125,13 @@
     forced_by_port: dict[int, str] = {}
     muted_seconds: float = 0
     domains_out: set[str] = set()
-    stopping: bool = False
     tasks: set[asyncio.Task[None]] = set()
 
+    @property
+    def judge(self) -> Judge:
+        """Return the judge of the run."""
+        return self.fleet.judge
+
 
 @asynccontextmanager
 async def open_world(
@@ -146,7 +148,7 @@
     async with AsyncExitStack() as stack:
         stack.callback(held.close)
         stack.push_async_callback(runner.cleanup)
-        stack.push_async_callback(_end_world, world)
+        stack.push_async_callback(end_fleet, world.fleet)
         await _fill_world(world, schedule)
         yield world
 
@@ -158,15 +160,8 @@
     folder: pathlib.Path,
 ) -> World:
     random = Random(seed)
-    judge = Judge(Peace())
-    links = Links(random)
-    fleet = Fleet(base, folder, judge, links)
-    return World(store, fleet, judge, links, random)
-
-
-async def _end_world(world: World) -> None:
-    world.stopping = True
-    await end_fleet(world.fleet)
+    fleet = Fleet(base, folder, Judge(Peace()), Links(random))
+    return World(store, fleet, random)
 
 
 async def _fill_world(world: World, schedule: Schedule) -> None:
@@ -306,13 +301,17 @@
                 host.name,
                 host.service,
                 host.domain,
-                name,
                 (name, instance.incarnation),
                 COLD_RATE if host.cold_until > steady_seconds() else 0,
             ),
         )
 
-    carry(world.links, instance.place, Place(host.name, host.domain), deliver)
+    carry(
+        world.fleet.links,
+        instance.place,
+        Place(host.name, host.domain),
+        deliver,
+    )
 
 
 def _judge_way(world: World, host: Host, datagram: bytes, name: str) -> None:
@@ -351,7 +350,7 @@
         target = (instance.address, FABRIC_PORT)
         raw = build_packet(packet)
         carry(
-            world.links,
+            world.fleet.links,
             router,
             instance.place,
             lambda: send_raw(raw, target),
@@ -415,16 +414,5 @@
     )
     if not any(_is_spare(world, host) for host in same_service):
         return
-    name = instance.place.name
-    judge_refusal(
-        world.judge,
-        Arrival(
-            endpoint,
-            sent_at,
-            '',
-            service or '',
-            '',
-            name,
-            (name, instance.incarnation),
-        ),
-    )
+    incarnation = (instance.place.name, instance.incarnation)
+    judge_refusal(world.judge, endpoint, sent_at, incarnation)
