--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -116,9 +116,7 @@
     fleet.by_name[place.name] = instance
     fleet.by_address[address] = instance
     start_reading_senders(
-        instance.peer_end,
-        partial(_relay_beat, fleet, instance),
-        lambda: None,
+        instance.peer_end, partial(_relay_beat, fleet, instance), lambda: None
     )
     await start_relay(instance.store_relay, store)
     await start_relay(instance.peer_relay, advertised)
@@ -129,11 +127,7 @@
         task.add_done_callback(fleet.tasks.discard)
 
 
-def _make_settings(
-    fleet: Fleet,
-    number: int,
-    domain: str,
-) -> dict[str, object]:
+def _make_settings(fleet: Fleet, number: int, domain: str) -> dict[str, object]:
     base = fleet.base
     address = f'{base}.1.{number}'
     return {
@@ -253,10 +247,7 @@
 
 
 def _relay_beat(
-    fleet: Fleet,
-    target: Instance,
-    datagram: bytes,
-    sender: Endpoint,
+    fleet: Fleet, target: Instance, datagram: bytes, sender: Endpoint
 ) -> None:
     """Pass a datagram between instances on, as from where they advertise."""
     start = fleet.by_address.get(sender[0])
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -151,10 +151,7 @@
 
 
 def judge_refusal(
-    judge: Judge,
-    endpoint: Endpoint,
-    sent_at: float,
-    incarnation: Incarnation,
+    judge: Judge, endpoint: Endpoint, sent_at: float, incarnation: Incarnation
 ) -> None:
     """Judge a reset of an opening packet on a route that may be there.
 
--- a/soak/links.py
+++ b/soak/links.py
@@ -47,10 +47,7 @@
 
 
 def carry(
-    links: Links,
-    start: Place,
-    end: Place,
-    deliver: Callable[[], None],
+    links: Links, start: Place, end: Place, deliver: Callable[[], None]
 ) -> None:
     """Deliver a datagram as the links between two places do."""
     random = links.random
@@ -68,11 +65,7 @@
             deliver()
 
 
-def _find_troubles(
-    links: Links,
-    start: Place,
-    end: Place,
-) -> Iterator[Trouble]:
+def _find_troubles(links: Links, start: Place, end: Place) -> Iterator[Trouble]:
     if not links.trouble_by_ends:
         return
     for first in (start.name, start.domain, ''):
--- a/soak/network.py
+++ b/soak/network.py
@@ -92,9 +92,7 @@
 
 @asynccontextmanager
 async def _troubled(
-    world: World,
-    trouble: Trouble,
-    *ends: tuple[str, str],
+    world: World, trouble: Trouble, *ends: tuple[str, str]
 ) -> AsyncIterator[None]:
     """Put a trouble on links; one that is there already stays."""
     table = world.fleet.links.trouble_by_ends
--- a/soak/platform.py
+++ b/soak/platform.py
@@ -11,15 +11,7 @@
 from soak.parties import Fault, disturbing, pick_hosts
 from soak.schedule import Step
 from soak.upstreams import COLD_SECONDS
-from soak.world import (
-    DOMAINS,
-    NAME,
-    SERVICES,
-    World,
-    publish,
-    put,
-    write_entry,
-)
+from soak.world import DOMAINS, NAME, SERVICES, World, publish, put, write_entry
 
 __all__ = (
     'harm_store',
--- a/soak/relays.py
+++ b/soak/relays.py
@@ -47,8 +47,7 @@
     """Listen on an endpoint for the target."""
 
     async def serve(
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         relay.writers.add(writer)
         await _join(relay, reader, writer)
@@ -67,9 +66,7 @@
 
 
 async def _join(
-    relay: Relay,
-    reader: asyncio.StreamReader,
-    writer: asyncio.StreamWriter,
+    relay: Relay, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
 ) -> None:
     if relay.manner is Manner.RESET:
         return
--- a/soak/run.py
+++ b/soak/run.py
@@ -15,7 +15,8 @@
 from soak.judge import Finding, report
 from soak.machine import watch_machine
 from soak.schedule import LAST_SECONDS, Schedule
-from soak.world import World, open_world
+from soak.wiring import open_world
+from soak.world import World
 
 __all__ = ('Report', 'run_schedule')
 
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -9,15 +9,8 @@
 from soak.judge import CONTACT_SECONDS, CORE, LEAVE_SECONDS, take_out
 from soak.parties import disturbing, pick_spare
 from soak.schedule import Step
-from soak.world import (
-    DOMAINS,
-    SERVICES,
-    World,
-    add_host,
-    put,
-    remove_host,
-    write_entry,
-)
+from soak.wiring import add_host
+from soak.world import DOMAINS, SERVICES, World, put, remove_host, write_entry
 
 __all__ = (
     'COLD_SECONDS',
