Count and log how updates reach an instance

Neither logs nor metrics told whether a configuration is late because the reader has it late, because fetches from other instances fail, because announced changes do not apply, or because it is read in many versions at once.

Each topic now has counters of reads, fetches, replies served, superseded changes and changes that did not start at the known revision, with bytes; E303 to E305 (DEBUG) tell size and duration of each, and E302 names the topic. No decision changes.

--- a/marlbend/edge/changes.py
+++ b/marlbend/edge/changes.py
@@ -70,21 +70,44 @@
     """
     applied = False
     for changes in sorted(received_changes, key=_until_of):
+        topic = Topic(changes.topic)
         if not is_applicable(gossip, changes):
+            _record_unusable(gossip, changes, sender)
             continue
-        topic = Topic(changes.topic)
         try:
             _APPLY_BY_TOPIC[topic](steering, changes.body)
         except msgspec.DecodeError as error:
             # The known revision stays as it is, so the topic is fetched.
-            emit(Event.UPDATE_FAILED, peer=sender, error=error)
+            emit(
+                Event.UPDATE_FAILED,
+                peer=sender,
+                error=error,
+                kind=topic.name.lower(),
+            )
             continue
         update_revision(gossip, topic, changes.until)
         record_changes(gossip.recent_changes, changes, steady_seconds())
+        gossip.transfers_by_topic[topic].applied_changes += 1
         applied = True
     return applied
 
 
+def _record_unusable(
+    gossip: GossipState, changes: TopicChanges, sender: str
+) -> None:
+    topic = Topic(changes.topic)
+    known_revision = gossip.revision_by_topic[topic]
+    if changes.until > known_revision:
+        gossip.transfers_by_topic[topic].unusable_changes += 1
+        emit(
+            Event.CHANGES_UNUSABLE,
+            kind=topic.name.lower(),
+            peer=sender,
+            since=changes.since,
+            known=known_revision,
+        )
+
+
 def _describe_publication(
     stored: StoredObject,
     deleted: bool,
--- a/marlbend/edge/peers.py
+++ b/marlbend/edge/peers.py
@@ -245,7 +245,11 @@
             if not node.gossip.revision_by_topic[topic]:
                 return 503, 'text/plain', b''
             reply = _make_topic_reply(node, topic, query)
-            return _OK, 'application/msgpack', msgspec.msgpack.encode(reply)
+            body = msgspec.msgpack.encode(reply)
+            transfers = node.gossip.transfers_by_topic[topic]
+            transfers.served += 1
+            transfers.served_bytes += len(body)
+            return _OK, 'application/msgpack', body
 
         return respond
 
@@ -289,7 +293,13 @@
             sender_address,
         )
     except (MarlbendError, msgspec.DecodeError) as error:
-        emit(Event.UPDATE_FAILED, peer=sender_address[0], error=error)
+        node.gossip.transfers_by_topic[topic].failed_fetches += 1
+        emit(
+            Event.UPDATE_FAILED,
+            peer=sender_address[0],
+            error=error,
+            kind=topic.name.lower(),
+        )
     finally:
         connection.close()
         node.fetching.discard(topic)
@@ -304,6 +314,7 @@
     if response.status != _OK:
         return
     reply = msgspec.msgpack.decode(response.body, type=_TopicReply)
+    _record_fetch(node.gossip, topic, response, reply, sender_address[0])
     if reply.revision <= node.gossip.revision_by_topic[topic]:
         return
     now = steady_seconds()
@@ -322,6 +333,27 @@
     send_gossip_round(node)
 
 
+def _record_fetch(
+    gossip: GossipState,
+    topic: Topic,
+    response: ClientResponse,
+    reply: _TopicReply,
+    peer: str,
+) -> None:
+    transfers = gossip.transfers_by_topic[topic]
+    transfers.fetches += 1
+    transfers.fetched_bytes += len(response.body)
+    emit(
+        Event.UPDATE_FETCHED,
+        kind=topic.name.lower(),
+        peer=peer,
+        size=len(response.body),
+        seconds=round(response.receive_seconds, 3),
+        revision=reply.revision,
+        in_changes=bool(reply.changes),
+    )
+
+
 def _encode_heartbeat(
     node: GossipNode,
     domain: str,
--- a/marlbend/edge/status.py
+++ b/marlbend/edge/status.py
@@ -10,7 +10,12 @@
 from marlbend.observe.latency import LatencyHistogram
 from marlbend.observe.memory import resident_bytes
 from marlbend.steering.failure_detection import count_busy, is_suspected
-from marlbend.steering.gossip import Topic, is_reader, list_live_members
+from marlbend.steering.gossip import (
+    GossipState,
+    Topic,
+    is_reader,
+    list_live_members,
+)
 from marlbend.steering.state import Outcome, Steering
 from marlbend.steering.upstreams import Upstream
 from marlbend.wire.status import (
@@ -122,10 +127,20 @@
         )
         yield f'marlbend_upstream_flows{labels} {upstream.flows}'
         yield f'marlbend_upstream_busy{labels} {upstream.busy}'
+    yield from _transfer_lines(node.gossip)
     yield from _gauge_lines(status)
     yield from _handshake_lines(handshake_latencies)
 
 
+def _transfer_lines(gossip: GossipState) -> Iterator[str]:
+    for topic, transfers in gossip.transfers_by_topic.items():
+        topic_name = topic.name.lower()
+        for name in transfers.__slots__:
+            labels = f'{{topic="{topic_name}",count="{name}"}}'
+            count = getattr(transfers, name)
+            yield f'marlbend_topic_transfers{labels} {count}'
+
+
 def _gauge_lines(status: CookieStatus) -> Iterator[str]:
     yield f'marlbend_configuration {status.configuration}'
     yield f'marlbend_members {len(status.members)}'
--- a/marlbend/edge/watch.py
+++ b/marlbend/edge/watch.py
@@ -155,6 +155,7 @@
         path = list_path(watcher.topic, after)
         response = await _call(watcher, path, LIST_TIMEOUT_SECONDS)
         page, page_revision, has_more = _decode(response, decode_page)
+        _log_read(watcher, response, len(page), 0)
         listed.extend(page)
         # The next watch starts at the revision of the first page, so that it
         # returns the changes since then.
@@ -189,6 +190,7 @@
         watcher.history_gone = True
         return False
     changes, revision = _decode(response, decode_changes)
+    _log_read(watcher, response, len(changes), _count_superseded(changes))
     known_revision = watcher.gossip.revision_by_topic[watcher.topic]
     watcher.watch_from_revision = max(watcher.watch_from_revision, revision)
     if changes and revision > known_revision:
@@ -201,6 +203,35 @@
     return bool(changes)
 
 
+def _count_superseded(changes: list[ObjectChange]) -> int:
+    """Count the changes that a later one to the same object replaces."""
+    return len(changes) - len({stored.meta.name for stored, _ in changes})
+
+
+def _log_read(
+    watcher: TopicWatcher,
+    response: ClientResponse,
+    change_count: int,
+    superseded: int,
+) -> None:
+    topic = watcher.topic
+    transfers = watcher.gossip.transfers_by_topic[topic]
+    transfers.reads += 1
+    transfers.read_bytes += len(response.body)
+    transfers.superseded += superseded
+    if change_count:
+        confirmed_at = watcher.gossip.confirmed_at_by_topic[topic]
+        emit(
+            Event.PLATFORM_READ,
+            kind=topic.name.lower(),
+            size=len(response.body),
+            seconds=round(response.receive_seconds, 3),
+            changes=change_count,
+            superseded=superseded,
+            age=round(steady_seconds() - confirmed_at, 3),
+        )
+
+
 def _record_read(watcher: TopicWatcher, revision: int) -> None:
     gossip = watcher.gossip
     confirm_revision(gossip, watcher.topic, revision, steady_seconds())
--- a/marlbend/events.py
+++ b/marlbend/events.py
@@ -92,6 +92,21 @@
         logging.INFO,
         'cannot read an update from {peer}: {error}',
     )
+    PLATFORM_READ = (
+        303,
+        logging.DEBUG,
+        'read {kind} from the platform: {size} bytes in {seconds} s',
+    )
+    UPDATE_FETCHED = (
+        304,
+        logging.DEBUG,
+        'fetched {kind} from {peer}: {size} bytes in {seconds} s',
+    )
+    CHANGES_UNUSABLE = (
+        305,
+        logging.DEBUG,
+        'changes of {kind} from {peer} start at revision {since}, not {known}',
+    )
     FLOW_OPENED = (600, logging.INFO, 'flow {flow} opened to {upstream}')
     FLOW_REOPENED = (
         601,
--- a/marlbend/http/client.py
+++ b/marlbend/http/client.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from marlbend import error_messages
+from marlbend.clock import steady_seconds
 from marlbend.errorcodes import ErrorKind
 from marlbend.errors import MarlbendError
 
@@ -26,10 +27,14 @@
 
 
 class ClientResponse(msgspec.Struct, frozen=True):
-    """Hold the status and body of a response."""
+    """Hold the status and body of a response.
+
+    `receive_seconds` is the time from its first to its last byte.
+    """
 
     status: int
     body: bytes
+    receive_seconds: float = 0
 
 
 @final
@@ -121,14 +126,20 @@
         stream.writer.write(head.encode() + body)
         collector = _ResponseCollector()
         parser = httptools.HttpResponseParser(collector)
+        started_at: float = 0
         while not collector.is_complete:
             chunk = await stream.reader.read(_CHUNK_BYTES)
             if not chunk:
                 raise EOFError
+            started_at = started_at or steady_seconds()
             parser.feed_data(chunk)
         if not parser.should_keep_alive():
             self.close()
-        return ClientResponse(parser.get_status_code(), bytes(collector.body))
+        return ClientResponse(
+            parser.get_status_code(),
+            bytes(collector.body),
+            steady_seconds() - started_at,
+        )
 
     async def _connect(self) -> '_Stream':
         if self._stream is None:
--- a/marlbend/steering/gossip.py
+++ b/marlbend/steering/gossip.py
@@ -18,6 +18,7 @@
 from random import Random
 from typing import Final, final
 
+from marlbend.observe.transfers import TopicTransfers
 from marlbend.steering.members import (
     MEMBER_TIMEOUT_SECONDS,
     Member,
@@ -81,7 +82,7 @@
     a failed call, both in steady seconds.  Above the age in
     `staleness_limit_by_topic`, in seconds, the instance reads the platform
     directly.  `is_first` is whether this instance was the first by rank at
-    `rank_checked_at`.
+    `rank_checked_at`.  `transfers_by_topic` counts the updates.
     """
 
     __slots__ = (
@@ -94,6 +95,7 @@
         'recovered_at_by_topic',
         'revision_by_topic',
         'staleness_limit_by_topic',
+        'transfers_by_topic',
     )
 
     def __init__(
@@ -111,6 +113,7 @@
         self.confirmed_at_by_topic = dict.fromkeys(Topic, float('-inf'))
         self.recent_changes = RecentChanges()
         self.recovered_at_by_topic = dict.fromkeys(Topic, float('-inf'))
+        self.transfers_by_topic = {topic: TopicTransfers() for topic in Topic}
 
 
 def confirm_revision(
