Announce changes from the revision that other instances know

Callers saw nothing of it; instances fetched changes that they had already received. A watch without changes raises the revision from which the reader watches next, when another topic changed meanwhile. The reader announced the next changes as starting there, and the others, who know the revision of the topic's last change, could not use them.

The new test timed out before: a change of the configuration after one of an upstream never reached an instance that cannot fetch.

Announced changes now start at the lower of both revisions: no change of the topic lies between them.

--- a/marlbend/edge/watch.py
+++ b/marlbend/edge/watch.py
@@ -196,6 +196,9 @@
     if changes and revision > known_revision:
         apply_object_changes(watcher.steering, watcher.topic, changes)
         _record_read(watcher, revision)
+        # No change of this topic lies between the known revision and a later
+        # one from which the watch started.
+        since = min(since, known_revision)
         watcher.announce(_make_topic_changes(watcher, since, revision, changes))
     else:
         # A revision from another instance is as recent as this response.
--- a/marlbend/test/test_edge.py
+++ b/marlbend/test/test_edge.py
@@ -347,6 +347,28 @@
     run_with_fleet(scenario)
 
 
+def test_changes_of_other_topics_do_not_make_announced_changes_unusable() -> (
+    None
+):
+    """They raise the revision from which the reader watches."""
+
+    async def scenario(fleet: Fleet) -> None:
+        reader = await fleet.add('n1')
+        reader.announces_changes = True
+        other = await fleet.add('n2', '127.9.2.1', store=UNREACHABLE_STORE)
+        await wait_until(lambda: other.version == 3 and bool(other.upstreams))
+        assert reader.server is not None
+        reader.server.close()
+        await fleet.register('i-2')
+        await wait_until(lambda: len(other.upstreams) == 2)
+        # Longer than a watch without changes takes.
+        await asyncio.sleep(STALENESS_LIMIT_SECONDS)
+        await fleet.publish(4)
+        await wait_until(lambda: other.version == 4)
+
+    run_with_fleet(scenario)
+
+
 def test_missed_changes_are_fetched_without_the_whole_topic() -> None:
     """Changes are fetched from the reader, as no gossip announces them.
 
