Send differences by route between instances, and compress what is whole

Callers met versions that were out of date for more than 5 s. Each change of the configuration was sent as the whole publication. With 1,640 routes it is longer than a heartbeat and than the history, so all instances fetched it for each version, from the few that had it.

The configuration now changes by route, like upstreams and failure domains do by object: a change names the version that it leads from, and an instance with another version fetches the whole. Whole topics and changes of the configuration are compressed. Instances of an earlier release still get what they can decode. An instance without a revision no longer applies changes, which would leave it without a time of confirmation.

The storm behind slow links stays red: the reader reads every version.

--- a/marlbend/edge/changes.py
+++ b/marlbend/edge/changes.py
@@ -1,11 +1,11 @@
 """Gossip changes of topics, so that instances need not fetch whole topics.
 
-Designed for hundreds of instances with thousands of upstreams and one change of
-an upstream per second; the complete list is a thousand times as long as a
-change.
+Designed for hundreds of instances with thousands of routes and upstreams and a
+few changes of single ones per second; the complete list is a thousand times as
+long as a change.
 """
 
-from collections.abc import Callable, Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from types import MappingProxyType
 from typing import Final
 
@@ -21,10 +21,13 @@
 from marlbend.platform.objects import (
     ObjectChange,
     StoredObject,
-    decode_publication,
     decode_upstream,
 )
-from marlbend.steering.documents import Publication, UpstreamEntry
+from marlbend.steering.documents import (
+    Publication,
+    PublicationChange,
+    UpstreamEntry,
+)
 from marlbend.steering.gossip import (
     GossipState,
     Topic,
@@ -32,19 +35,25 @@
     update_revision,
 )
 from marlbend.steering.recent_changes import record_changes
+from marlbend.steering.routes import change_publication, compare_publications
 from marlbend.steering.state import Steering
+from marlbend.wire.compression import compress, decompress
 from marlbend.wire.heartbeats import TopicChanges
 
-__all__ = ('apply_peer_changes', 'encode_changes')
+__all__ = (
+    'apply_peer_changes',
+    'encode_changes',
+    'encode_publication_change',
+)
 
 _ENCODER: Final = msgspec.msgpack.Encoder()
-_PUBLICATIONS: Final = msgspec.msgpack.Decoder(dict[str, Publication | None])
+_PUBLICATION_CHANGE: Final = msgspec.msgpack.Decoder(PublicationChange)
 _ENTRIES: Final = msgspec.msgpack.Decoder(dict[str, UpstreamEntry | None])
 _DOMAINS: Final = msgspec.msgpack.Decoder(dict[str, bool])
 
 
 def encode_changes(topic: Topic, changes: Iterable[ObjectChange]) -> bytes:
-    """Encode changes of a topic for other instances.
+    """Encode changes of upstreams or domains out for other instances.
 
     Of several changes to the same object, only the last one is kept.
     """
@@ -57,6 +66,14 @@
     )
 
 
+def encode_publication_change(
+    previous: Publication, current: Publication
+) -> bytes:
+    """Encode what differs between two publications for other instances."""
+    change = compare_publications(previous, current)
+    return compress(_ENCODER.encode(change))
+
+
 def apply_peer_changes(
     steering: Steering,
     gossip: GossipState,
@@ -70,28 +87,34 @@
     """
     applied = False
     for changes in sorted(received_changes, key=_until_of):
-        topic = Topic(changes.topic)
-        if not is_applicable(gossip, changes):
+        is_usable = is_applicable(gossip, changes)
+        if is_usable and _apply(steering, changes, sender):
+            topic = Topic(changes.topic)
+            update_revision(gossip, topic, changes.until)
+            record_changes(gossip.recent_changes, changes, steady_seconds())
+            gossip.transfers_by_topic[topic].applied_changes += 1
+            applied = True
+        else:
             _record_unusable(gossip, changes, sender)
-            continue
-        try:
-            _APPLY_BY_TOPIC[topic](steering, changes.body)
-        except msgspec.DecodeError as error:
-            # The known revision stays as it is, so the topic is fetched.
-            emit(
-                Event.UPDATE_FAILED,
-                peer=sender,
-                error=error,
-                kind=topic.name.lower(),
-            )
-            continue
-        update_revision(gossip, topic, changes.until)
-        record_changes(gossip.recent_changes, changes, steady_seconds())
-        gossip.transfers_by_topic[topic].applied_changes += 1
-        applied = True
     return applied
 
 
+def _apply(steering: Steering, changes: TopicChanges, sender: str) -> bool:
+    """Apply changes; return whether they start at what is known."""
+    topic = Topic(changes.topic)
+    try:
+        return _APPLY_BY_TOPIC[topic](steering, changes.body)
+    except msgspec.DecodeError as error:
+        # The known revision stays as it is, so the topic is fetched.
+        emit(
+            Event.UPDATE_FAILED,
+            peer=sender,
+            error=error,
+            kind=topic.name.lower(),
+        )
+        return False
+
+
 def _record_unusable(
     gossip: GossipState, changes: TopicChanges, sender: str
 ) -> None:
@@ -108,13 +131,6 @@
         )
 
 
-def _describe_publication(
-    stored: StoredObject,
-    deleted: bool,
-) -> Publication | None:
-    return None if deleted else decode_publication(stored)
-
-
 def _describe_upstream(
     stored: StoredObject,
     deleted: bool,
@@ -126,23 +142,25 @@
     return not deleted and not stored.meta.deleting
 
 
-def _apply_publications(steering: Steering, body: bytes) -> None:
-    for publication in _list_publications(body):
-        apply_publication(steering, publication)
-
-
-def _list_publications(body: bytes) -> Iterator[Publication]:
-    for publication in _PUBLICATIONS.decode(body).values():
-        if publication is not None:
-            yield publication
+def _apply_publication_change(steering: Steering, body: bytes) -> bool:
+    change = _PUBLICATION_CHANGE.decode(decompress(body))
+    if change.version == steering.routes.version:
+        return True
+    publication = change_publication(steering.routes.publication, change)
+    if publication is None:
+        return False
+    apply_publication(steering, publication)
+    return True
 
 
-def _apply_upstream_entries(steering: Steering, body: bytes) -> None:
+def _apply_upstream_entries(steering: Steering, body: bytes) -> bool:
     apply_upstream_entries(steering, _ENTRIES.decode(body))
+    return True
 
 
-def _apply_domains(steering: Steering, body: bytes) -> None:
+def _apply_domains(steering: Steering, body: bytes) -> bool:
     apply_domain_states(steering, _DOMAINS.decode(body))
+    return True
 
 
 def _until_of(changes: TopicChanges) -> int:
@@ -150,18 +168,18 @@
 
 
 _DescribeObject = Callable[[StoredObject, bool], object]
-_ApplyBody = Callable[[Steering, bytes], None]
+# Returns whether the changes start at what is known.
+_ApplyChanges = Callable[[Steering, bytes], bool]
 
 _DESCRIBE_BY_TOPIC: Final[Mapping[Topic, _DescribeObject]] = MappingProxyType(
     {
-        Topic.CONFIGURATION: _describe_publication,
         Topic.UPSTREAMS: _describe_upstream,
         Topic.DOMAINS_OUT: _describe_domain,
     }
 )
-_APPLY_BY_TOPIC: Final[Mapping[Topic, _ApplyBody]] = MappingProxyType(
+_APPLY_BY_TOPIC: Final[Mapping[Topic, _ApplyChanges]] = MappingProxyType(
     {
-        Topic.CONFIGURATION: _apply_publications,
+        Topic.CONFIGURATION: _apply_publication_change,
         Topic.UPSTREAMS: _apply_upstream_entries,
         Topic.DOMAINS_OUT: _apply_domains,
     }
--- a/marlbend/edge/peers.py
+++ b/marlbend/edge/peers.py
@@ -41,6 +41,7 @@
 from marlbend.steering.members import choose_targets, remove_expired_members
 from marlbend.steering.recent_changes import list_since, record_changes
 from marlbend.steering.state import Steering
+from marlbend.wire.compression import compress, decompress
 from marlbend.wire.heartbeats import (
     Heartbeat,
     TopicChanges,
@@ -77,6 +78,9 @@
 _OK: Final = 200
 _TOPIC_PATH: Final = '/beliefs/{topic}'
 _SINCE_PREFIX: Final = 'since='
+# Only an instance that sends this accepts compressed contents, and changes of
+# the configuration by route.
+_COMPRESSED: Final = 'compressed'
 
 
 class _TopicReply(msgspec.Struct, array_like=True, frozen=True):
@@ -84,13 +88,14 @@
 
     `age` is the time since `revision` was known to be the latest, in
     milliseconds.  `topic_contents` is empty if `changes` lead from the
-    requested revision to this one.
+    requested revision to this one.  `compressed` tells how it is encoded.
     """
 
     revision: int
     age: int
     topic_contents: bytes
     changes: tuple[TopicChanges, ...] = ()
+    compressed: bool = False
 
 
 @final
@@ -99,7 +104,8 @@
 
     `seeds` holds the control endpoints of the configured seeds.  `send` sends a
     datagram to an address.  `fetching` holds the topics that are being fetched,
-    and `tasks` the tasks that fetch them.  `urgent_sent_at` is when urgent
+    and `tasks` the tasks that fetch them; those in `whole_needed` are fetched
+    whole, since changes did not apply.  `urgent_sent_at` is when urgent
     heartbeats were last sent, in steady seconds.
     """
 
@@ -111,6 +117,7 @@
         'steering',
         'tasks',
         'urgent_sent_at',
+        'whole_needed',
     )
 
     def __init__(
@@ -127,6 +134,7 @@
         self.send = send
         self.urgent_sent_at: float = 0
         self.fetching: set[Topic] = set()
+        self.whole_needed: set[Topic] = set()
         self.tasks: set[asyncio.Task[None]] = set()
 
 
@@ -266,15 +274,23 @@
     gossip = node.gossip
     revision = gossip.revision_by_topic[topic]
     age = steady_seconds() - gossip.confirmed_at_by_topic[topic]
-    requested = query.removeprefix(_SINCE_PREFIX)
+    since, _, encoding = query.partition('&')
+    compressed = encoding == _COMPRESSED
+    requested = since.removeprefix(_SINCE_PREFIX)
     changes: tuple[TopicChanges, ...] = ()
-    if requested.isdecimal():
+    if requested.isdecimal() and (
+        compressed or topic is not Topic.CONFIGURATION
+    ):
         changes = list_since(
             gossip.recent_changes, topic, int(requested), revision
         )
     topic_contents = b'' if changes else encode_topic(node.steering, topic)
     return _TopicReply(
-        revision, int(age * _MILLISECONDS_PER_SECOND), topic_contents, changes
+        revision,
+        int(age * _MILLISECONDS_PER_SECOND),
+        compress(topic_contents) if compressed else topic_contents,
+        changes,
+        compressed,
     )
 
 
@@ -284,7 +300,8 @@
     connection = Connection(sender_address)
     path = _TOPIC_PATH.format(topic=int(topic))
     known_revision = node.gossip.revision_by_topic[topic]
-    target = f'{path}?{_SINCE_PREFIX}{known_revision}'
+    since = '' if topic in node.whole_needed else str(known_revision)
+    target = f'{path}?{_SINCE_PREFIX}{since}&{_COMPRESSED}'
     try:
         _apply_response(
             node,
@@ -323,13 +340,17 @@
             node.steering, node.gossip, reply.changes, sender_address[0]
         )
     else:
-        apply_topic(
-            node.steering, topic, decode_topic(topic, reply.topic_contents)
-        )
+        body = reply.topic_contents
+        if reply.compressed:
+            body = decompress(body)
+        apply_topic(node.steering, topic, decode_topic(topic, body))
         update_revision(node.gossip, topic, reply.revision)
     if node.gossip.revision_by_topic[topic] == reply.revision:
         confirmed_at = now - reply.age / _MILLISECONDS_PER_SECOND
         confirm_revision(node.gossip, topic, reply.revision, confirmed_at)
+        node.whole_needed.discard(topic)
+    else:
+        node.whole_needed.add(topic)
     send_gossip_round(node)
 
 
--- a/marlbend/edge/watch.py
+++ b/marlbend/edge/watch.py
@@ -15,7 +15,7 @@
 
 from marlbend import error_messages
 from marlbend.clock import steady_seconds
-from marlbend.edge.changes import encode_changes
+from marlbend.edge.changes import encode_changes, encode_publication_change
 from marlbend.edge.topics import (
     apply_list,
     apply_object_changes,
@@ -32,6 +32,7 @@
     decode_page,
 )
 from marlbend.platform.paths import list_path, watch_path
+from marlbend.steering.documents import Publication
 from marlbend.steering.gossip import (
     GossipState,
     Topic,
@@ -147,6 +148,26 @@
 
 
 async def _list_all(watcher: TopicWatcher) -> None:
+    listed, revision = await _read_pages(watcher)
+    known_revision = watcher.gossip.revision_by_topic[watcher.topic]
+    watcher.history_gone = False
+    if revision >= known_revision:
+        previous = watcher.steering.routes.publication
+        apply_list(watcher.steering, watcher.topic, listed)
+        watcher.watch_from_revision = revision
+        _record_read(watcher, revision)
+        if revision > known_revision:
+            watcher.announce(
+                _describe_list(watcher, known_revision, revision, previous)
+            )
+
+
+async def _read_pages(watcher: TopicWatcher) -> tuple[list[StoredObject], int]:
+    """Return the objects of a topic and the revision to watch from.
+
+    That is the revision of the first page, so that the next watch returns the
+    changes since then.
+    """
     listed: list[StoredObject] = []
     revision = 0
     after = ''
@@ -157,22 +178,11 @@
         page, page_revision, has_more = _decode(response, decode_page)
         _log_read(watcher, response, len(page), 0)
         listed.extend(page)
-        # The next watch starts at the revision of the first page, so that it
-        # returns the changes since then.
         revision = revision or page_revision
         # Without a readable object there is no name to continue from.
         has_more = has_more and bool(page)
         after = page[-1].meta.name if page else ''
-    known_revision = watcher.gossip.revision_by_topic[watcher.topic]
-    watcher.history_gone = False
-    if revision >= known_revision:
-        apply_list(watcher.steering, watcher.topic, listed)
-        watcher.watch_from_revision = revision
-        _record_read(watcher, revision)
-        if revision > known_revision:
-            watcher.announce(
-                _make_topic_changes(watcher, revision, revision, ())
-            )
+    return listed, revision
 
 
 async def _watch_changes(watcher: TopicWatcher) -> bool:
@@ -194,12 +204,14 @@
     known_revision = watcher.gossip.revision_by_topic[watcher.topic]
     watcher.watch_from_revision = max(watcher.watch_from_revision, revision)
     if changes and revision > known_revision:
+        previous = watcher.steering.routes.publication
         apply_object_changes(watcher.steering, watcher.topic, changes)
         _record_read(watcher, revision)
         # No change of this topic lies between the known revision and a later
         # one from which the watch started.
         since = min(since, known_revision)
-        watcher.announce(_make_topic_changes(watcher, since, revision, changes))
+        body = _encode_body(watcher, previous, changes)
+        watcher.announce(TopicChanges(watcher.topic, since, revision, body))
     else:
         # A revision from another instance is as recent as this response.
         _record_read(watcher, known_revision)
@@ -246,14 +258,29 @@
     watcher.retry_delay = 0
 
 
-def _make_topic_changes(
+def _describe_list(
     watcher: TopicWatcher,
-    since: int,
-    until: int,
-    changes: Iterable[ObjectChange],
+    known_revision: int,
+    revision: int,
+    previous: Publication,
 ) -> TopicChanges:
-    body = encode_changes(watcher.topic, changes)
-    return TopicChanges(watcher.topic, since, until, body)
+    """Return what a list changed, or no changes if only the list tells."""
+    if watcher.topic is not Topic.CONFIGURATION or not known_revision:
+        return TopicChanges(watcher.topic, revision, revision, b'')
+    body = _encode_body(watcher, previous, ())
+    return TopicChanges(watcher.topic, known_revision, revision, body)
+
+
+def _encode_body(
+    watcher: TopicWatcher,
+    previous: Publication,
+    changes: Iterable[ObjectChange],
+) -> bytes:
+    """Encode changes; `previous` is the publication before them."""
+    if watcher.topic is Topic.CONFIGURATION:
+        publication = watcher.steering.routes.publication
+        return encode_publication_change(previous, publication)
+    return encode_changes(watcher.topic, changes)
 
 
 async def _call(
--- a/marlbend/steering/documents.py
+++ b/marlbend/steering/documents.py
@@ -4,7 +4,13 @@
 
 import msgspec
 
-__all__ = ('Publication', 'RouteSpec', 'ServiceLimits', 'UpstreamEntry')
+__all__ = (
+    'Publication',
+    'PublicationChange',
+    'RouteSpec',
+    'ServiceLimits',
+    'UpstreamEntry',
+)
 
 
 @final
@@ -46,6 +52,22 @@
     limits_by_service: dict[str, ServiceLimits]
 
 
+@final
+class PublicationChange(msgspec.Struct, frozen=True, array_like=True):
+    """Lead from exactly one version of the configuration to a later one.
+
+    `routes` holds those that were added or that differ, and `removed` the
+    endpoints of the others.  `limits_by_service` is complete, or `None` if no
+    limit differs.
+    """
+
+    since_version: int
+    version: int
+    routes: tuple[RouteSpec, ...]
+    removed: tuple[bytes, ...]
+    limits_by_service: dict[str, ServiceLimits] | None
+
+
 @final
 class UpstreamEntry(msgspec.Struct, frozen=True):
     """Describe an upstream as it registered itself.
--- a/marlbend/steering/gossip.py
+++ b/marlbend/steering/gossip.py
@@ -145,9 +145,13 @@
 
 
 def is_applicable(gossip: GossipState, changes: TopicChanges) -> bool:
-    """Return whether changes lead from the known revision to a later one."""
+    """Return whether changes lead from the known revision to a later one.
+
+    Without a revision there is no time of its confirmation, which changes do
+    not provide.
+    """
     known = gossip.revision_by_topic[Topic(changes.topic)]
-    return changes.since <= known < changes.until
+    return known > 0 and changes.since <= known < changes.until
 
 
 def is_reader(gossip: GossipState, now: float) -> bool:
--- a/marlbend/steering/routes.py
+++ b/marlbend/steering/routes.py
@@ -8,9 +8,20 @@
 import zlib
 from typing import final
 
-from marlbend.steering.documents import Publication, RouteSpec
-
-__all__ = ('Route', 'RouteTable', 'pick_service', 'update_routes')
+from marlbend.steering.documents import (
+    Publication,
+    PublicationChange,
+    RouteSpec,
+)
+
+__all__ = (
+    'Route',
+    'RouteTable',
+    'change_publication',
+    'compare_publications',
+    'pick_service',
+    'update_routes',
+)
 
 
 @final
@@ -75,6 +86,52 @@
     return True
 
 
+def compare_publications(
+    previous: Publication, current: Publication
+) -> PublicationChange:
+    """Return the change that leads from one publication to another."""
+    previous_specs = _specs_by_endpoint(previous)
+    current_specs = _specs_by_endpoint(current)
+    limits = current.limits_by_service
+    return PublicationChange(
+        previous.version,
+        current.version,
+        tuple(
+            spec
+            for endpoint, spec in current_specs.items()
+            if previous_specs.get(endpoint) != spec
+        ),
+        tuple(each for each in previous_specs if each not in current_specs),
+        None if limits == previous.limits_by_service else limits,
+    )
+
+
+def change_publication(
+    previous: Publication, change: PublicationChange
+) -> Publication | None:
+    """Return the publication that a change leads to.
+
+    Return `None` if the change starts at another version: it need not mention a
+    route that was added and removed between the two versions.
+    """
+    if change.since_version != previous.version:
+        return None
+    spec_by_endpoint = _specs_by_endpoint(previous)
+    for endpoint in change.removed:
+        spec_by_endpoint.pop(endpoint, None)
+    spec_by_endpoint.update((each.endpoint, each) for each in change.routes)
+    limits = change.limits_by_service
+    return Publication(
+        change.version,
+        tuple(spec_by_endpoint.values()),
+        previous.limits_by_service if limits is None else limits,
+    )
+
+
+def _specs_by_endpoint(publication: Publication) -> dict[bytes, RouteSpec]:
+    return {spec.endpoint: spec for spec in publication.routes}
+
+
 def _find_lowest_priorities(publication: Publication) -> dict[str, int]:
     """Return the lowest priority, the largest number, of each service."""
     lowest_by_service: dict[str, int] = {}
--- a/marlbend/test/test_propagation.py
+++ b/marlbend/test/test_propagation.py
@@ -2,9 +2,17 @@
 
 import asyncio
 
+import msgspec
+import pytest
+from hypothesis import given, settings, strategies
+
 from marlbend.clock import steady_seconds
 from marlbend.edge.reload import STALENESS_SHARE
+from marlbend.edge.topics import decode_topic
+from marlbend.http import Connection
+from marlbend.steering.documents import Publication, RouteSpec, ServiceLimits
 from marlbend.steering.gossip import Topic
+from marlbend.steering.routes import change_publication, compare_publications
 from marlbend.test.edge import (
     Fleet,
     Instance,
@@ -12,6 +20,7 @@
     run_with_fleet,
     wait_until,
 )
+from marlbend.wire.compression import MAX_BYTES, compress, decompress
 
 # The users' target for a change of the configuration on grown deployments.
 APPLY_SECONDS = 5.0
@@ -21,6 +30,25 @@
 INSTANCES = 8
 STORM_SECONDS = 8.0
 STORM_INTERVAL_SECONDS = 0.33
+# Nothing listens there, so that the instance cannot reach the store.
+UNREACHABLE_STORE = ('127.0.0.1', 9)
+
+specs = strategies.builds(
+    RouteSpec,
+    strategies.sampled_from(('r-1', 'r-2')),
+    strategies.binary(min_size=1, max_size=1),
+    strategies.sampled_from(((('s-1', 1),), (('s-2', 1),))),
+    strategies.booleans(),
+)
+versions = strategies.builds(
+    Publication,
+    strategies.integers(1, 9),
+    strategies.lists(specs, unique_by=lambda spec: spec.endpoint).map(tuple),
+    strategies.dictionaries(
+        strategies.sampled_from(('s-1', 's-2')),
+        strategies.builds(ServiceLimits, strategies.integers(0, 2)),
+    ),
+)
 
 
 def test_storm_of_changes_to_many_routes_does_not_delay_them() -> None:
@@ -35,6 +63,91 @@
     run_with_fleet(scenario)
 
 
+def test_change_of_one_route_does_not_send_all_routes() -> None:
+    """The other instance can neither read nor fetch the whole."""
+
+    async def scenario(fleet: Fleet) -> None:
+        await publish_routes(fleet, 4)
+        reader = await fleet.add('n1')
+        reader.announces_changes = True
+        other = await fleet.add('n2', '127.9.2.1', store=UNREACHABLE_STORE)
+        await wait_until(lambda: other.version == 4)
+        assert reader.server is not None
+        reader.server.close()
+        await publish_routes(fleet, 5)
+        await wait_until(lambda: other.version == 5)
+        assert (
+            other.steering.routes.publication
+            == reader.steering.routes.publication
+        )
+
+    run_with_fleet(scenario)
+
+
+def test_change_from_another_version_leads_to_a_fetch_of_the_whole() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        reader = await fleet.add('n1')
+        reader.announces_changes = True
+        other = await fleet.add('n2', '127.9.2.1', store=UNREACHABLE_STORE)
+        await wait_until(lambda: other.version == 3)
+        routes = other.steering.routes
+        routes.publication = msgspec.structs.replace(
+            routes.publication, version=2, routes=()
+        )
+        await fleet.publish(4, routes=20)
+        await wait_until(lambda: other.version == 4)
+        assert len(routes.by_endpoint) == 20
+        transfers = other.gossip.transfers_by_topic[Topic.CONFIGURATION]
+        assert transfers.unusable_changes
+
+    run_with_fleet(scenario)
+
+
+def test_instance_of_an_earlier_release_gets_uncompressed_contents() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        instance = await fleet.add('n1')
+        instance.announces_changes = True
+        await wait_until(lambda: instance.version == 3)
+        revision = instance.gossip.revision_by_topic[Topic.CONFIGURATION]
+        await fleet.publish(4)
+        await wait_until(lambda: instance.version == 4)
+        connection = Connection(instance.endpoint)
+        response = await connection.request(
+            'GET', f'/beliefs/0?since={revision}', 1
+        )
+        connection.close()
+        reply = msgspec.msgpack.decode(response.body)
+        body, changes = reply[2:4]
+        assert decode_topic(Topic.CONFIGURATION, body)
+        assert not changes
+
+    run_with_fleet(scenario)
+
+
+@settings(deadline=None, derandomize=True)
+@given(versions, versions)
+def test_compared_publications_lead_from_one_to_the_other(
+    previous: Publication, current: Publication
+) -> None:
+    change = compare_publications(previous, current)
+    changed = change_publication(previous, change)
+    assert changed is not None
+    assert set(changed.routes) == set(current.routes)
+    assert changed.limits_by_service == current.limits_by_service
+    assert changed.version == current.version
+    other = msgspec.structs.replace(previous, version=previous.version + 1)
+    assert change_publication(other, change) is None
+
+
+def test_malformed_compressed_bodies_are_rejected() -> None:
+    compressed = compress(bytes(100))
+    assert decompress(compressed) == bytes(100)
+    too_long = compress(bytes(MAX_BYTES + 1))
+    for malformed in (b'', b'x', compressed[:-1], too_long):
+        with pytest.raises(msgspec.DecodeError):
+            decompress(malformed)
+
+
 async def start_instances(fleet: Fleet) -> list[Instance]:
     """Return instances that all have the configuration of many routes."""
     for number in range(INSTANCES):
