Read the latest version instead of every version since the last read

Callers met versions that were out of date for more than 5 s. A watch returns each change of the configuration as a whole object.

A watch whose response holds more changes than the topic has objects is followed by lists, until not all objects have changed since the last one. An instance over the staleness limit lists a topic of one object.

--- a/marlbend/edge/watch.py
+++ b/marlbend/edge/watch.py
@@ -77,8 +77,9 @@
     `watch_from_revision` is the revision after which the next watch starts.  It
     is zero until a list has been read here or another instance has reported a
     revision by gossip; in the latter case no list is read first.
-    `history_gone` is set if the store no longer has the changes since then, so
-    that a new list is needed.  `platform_lost` is set while calls fail, and
+    `list_needed` is set if the store no longer has the changes since then, or
+    if the last response held more changes than the topic has objects, so that a
+    list would have been shorter.  `platform_lost` is set while calls fail, and
     `retry_delay` is the delay after the last failure, in seconds.  `announce`
     is called with the changes that the platform reported, or with no changes
     after a list.
@@ -88,7 +89,7 @@
         'announce',
         'connection',
         'gossip',
-        'history_gone',
+        'list_needed',
         'platform_lost',
         'random',
         'retry_delay',
@@ -113,7 +114,7 @@
         self.announce = announce
         self.random: Random = steering.random
         self.watch_from_revision = 0
-        self.history_gone = False
+        self.list_needed = False
         self.platform_lost = False
         self.retry_delay: float = 0
 
@@ -141,16 +142,47 @@
     watcher.watch_from_revision = max(
         watcher.watch_from_revision, known_revision
     )
-    if watcher.history_gone or not watcher.watch_from_revision:
-        await _list_all(watcher)
-    elif await _watch_changes(watcher):
+    if _should_list(watcher):
+        has_changed = await _list_all(watcher)
+    else:
+        has_changed = await _watch_changes(watcher)
+    if has_changed:
         await asyncio.sleep(BATCH_SECONDS)
 
 
-async def _list_all(watcher: TopicWatcher) -> None:
+def _should_list(watcher: TopicWatcher) -> bool:
+    """Return whether to read all objects instead of the changes.
+
+    A watch returns each change in full, also those that later ones replace.  So
+    an instance over the staleness limit, which may have missed many, lists a
+    topic of one object.
+    """
+    if watcher.list_needed or not watcher.watch_from_revision:
+        return True
+    gossip = watcher.gossip
+    age = steady_seconds() - gossip.confirmed_at_by_topic[watcher.topic]
+    is_stale = age > gossip.staleness_limit_by_topic[watcher.topic]
+    return is_stale and _count_objects(watcher) == 1
+
+
+def _count_objects(watcher: TopicWatcher) -> int:
+    """Return how many objects a list of the topic has, one at least."""
+    steering = watcher.steering
+    if watcher.topic is Topic.UPSTREAMS:
+        return max(len(steering.pool.by_name), 1)
+    if watcher.topic is Topic.DOMAINS_OUT:
+        return max(len(steering.domains_out), 1)
+    return 1
+
+
+async def _list_all(watcher: TopicWatcher) -> bool:
+    """Read all objects; return whether any had changed."""
     listed, revision = await _read_pages(watcher)
     known_revision = watcher.gossip.revision_by_topic[watcher.topic]
-    watcher.history_gone = False
+    changed = sum(each.meta.rev > known_revision for each in listed)
+    # While everything changes, the next watch would be longer as well.
+    has_all_changed = bool(changed) and changed == len(listed)
+    watcher.list_needed = watcher.list_needed and has_all_changed
     if revision >= known_revision:
         previous = watcher.steering.routes.publication
         apply_list(watcher.steering, watcher.topic, listed)
@@ -160,6 +192,7 @@
             watcher.announce(
                 _describe_list(watcher, known_revision, revision, previous)
             )
+    return changed > 0
 
 
 async def _read_pages(watcher: TopicWatcher) -> tuple[list[StoredObject], int]:
@@ -197,12 +230,13 @@
     path = watch_path(watcher.topic, since, wait_seconds)
     response = await _call(watcher, path, wait_seconds + WATCH_GRACE_SECONDS)
     if response.status == _GONE:
-        watcher.history_gone = True
+        watcher.list_needed = True
         return False
     changes, revision = _decode(response, decode_changes)
     _log_read(watcher, response, len(changes), _count_superseded(changes))
     known_revision = watcher.gossip.revision_by_topic[watcher.topic]
     watcher.watch_from_revision = max(watcher.watch_from_revision, revision)
+    watcher.list_needed = len(changes) > _count_objects(watcher)
     if changes and revision > known_revision:
         previous = watcher.steering.routes.publication
         apply_object_changes(watcher.steering, watcher.topic, changes)
--- a/marlbend/test/test_propagation.py
+++ b/marlbend/test/test_propagation.py
@@ -6,6 +6,7 @@
 import pytest
 from hypothesis import given, settings, strategies
 
+from bench.store import Faults, set_faults
 from marlbend.clock import steady_seconds
 from marlbend.edge.reload import STALENESS_SHARE
 from marlbend.edge.topics import decode_topic
@@ -14,6 +15,7 @@
 from marlbend.steering.gossip import Topic
 from marlbend.steering.routes import change_publication, compare_publications
 from marlbend.test.edge import (
+    STALENESS_LIMIT_SECONDS,
     Fleet,
     Instance,
     make_configuration,
@@ -63,6 +65,39 @@
     run_with_fleet(scenario)
 
 
+def test_stale_instance_does_not_read_versions_that_were_replaced() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        instance = await fleet.add('n1', link_bytes_per_second=10_000_000)
+        await wait_until(lambda: instance.version == 3)
+        await set_faults(fleet.store, Faults(silent=True))
+        for version in range(4, 14):
+            await publish_routes(fleet, version)
+        await asyncio.sleep(2 * STALENESS_LIMIT_SECONDS)
+        await set_faults(fleet.store, Faults())
+        await wait_until(lambda: instance.version == 13)
+        transfers = instance.gossip.transfers_by_topic[Topic.CONFIGURATION]
+        assert not transfers.superseded
+
+    run_with_fleet(scenario)
+
+
+def test_reader_lists_what_changes_faster_than_it_is_read() -> None:
+    """Each watch would return more versions than the one before."""
+
+    async def scenario(fleet: Fleet) -> None:
+        instance = await fleet.add(
+            'n1', link_bytes_per_second=LINK_BYTES_PER_SECOND
+        )
+        await wait_until(lambda: instance.version == 3)
+        for version in range(4, 24):
+            await publish_routes(fleet, version)
+            await asyncio.sleep(0.1)
+        seconds = await wait_until(lambda: instance.version == 23)
+        assert seconds < APPLY_SECONDS
+
+    run_with_fleet(scenario)
+
+
 def test_change_of_one_route_does_not_send_all_routes() -> None:
     """The other instance can neither read nor fetch the whole."""
 
