Keep the recent changes of each topic apart

All topics shared one history of 64 kB and one share of a heartbeat. Changes of the configuration longer than the history evicted those of upstreams and failure domains, which then were fetched whole; and changes longer than the share of a heartbeat held back all others, of any topic, for half a second.

Each topic has a history of its own, and changes that do not fit into a heartbeat hold back only those of their topic, which need them.

Both new tests failed before. test_history_of_changes_is_bounded reads the history of its topic; its bounds are the same.

--- a/marlbend/steering/recent_changes.py
+++ b/marlbend/steering/recent_changes.py
@@ -23,8 +23,8 @@
 FRESH_SECONDS: Final = 0.5
 # The part of a datagram of 9 kB that members and upstreams do not need.
 FRESH_BYTES: Final = 3_000
-# Enough for the changes of the last minute at ten changes of an upstream per
-# second, for instances that fetch them.
+# For each topic, for instances that fetch changes: enough for those of the last
+# minute at ten changes of an upstream per second.
 HISTORY_BYTES: Final = 64_000
 
 TimedChanges = tuple[float, TopicChanges]
@@ -34,15 +34,16 @@
 class RecentChanges:
     """Hold the latest changes, each with the time when it was received.
 
-    `size` is the total size of their bodies, in bytes.
+    Each topic has a history of its own, so that long changes of one do not
+    evict those of another.  `bytes_by_topic` is the total size of the bodies.
     """
 
-    __slots__ = ('history', 'size')
+    __slots__ = ('bytes_by_topic', 'history_by_topic')
 
     def __init__(self) -> None:
         """Start without changes."""
-        self.history: deque[TimedChanges] = deque()
-        self.size = 0
+        self.history_by_topic: dict[int, deque[TimedChanges]] = {}
+        self.bytes_by_topic: dict[int, int] = {}
 
 
 def record_changes(
@@ -53,24 +54,40 @@
     """Add changes, if there are any, and evict the oldest ones."""
     if changes.since >= changes.until:
         return
-    recent.history.append((now, changes))
-    recent.size += len(changes.body)
-    while recent.size > HISTORY_BYTES:
-        _, oldest = recent.history.popleft()
-        recent.size -= len(oldest.body)
+    topic = changes.topic
+    history = recent.history_by_topic.setdefault(topic, deque())
+    history.append((now, changes))
+    size = recent.bytes_by_topic.get(topic, 0) + len(changes.body)
+    while size > HISTORY_BYTES:
+        _, oldest = history.popleft()
+        size -= len(oldest.body)
+    recent.bytes_by_topic[topic] = size
 
 
 def list_fresh_changes(
     recent: RecentChanges,
     now: float,
 ) -> Iterator[TopicChanges]:
-    """Yield the changes for the next heartbeat, as many as fit into it."""
+    """Yield the changes for the next heartbeat, as many as fit into it.
+
+    Changes that do not fit hold back the later ones of their topic, which would
+    not apply without them, but not those of other topics.
+    """
     bytes_left = FRESH_BYTES
-    for received_at, changes in recent.history:
-        if now - received_at < FRESH_SECONDS:
+    for history in recent.history_by_topic.values():
+        for changes in _select_fresh(history, now):
+            if len(changes.body) > bytes_left:
+                break
             bytes_left -= len(changes.body)
-            if bytes_left >= 0:
-                yield changes
+            yield changes
+
+
+def _select_fresh(
+    history: deque[TimedChanges], now: float
+) -> Iterator[TopicChanges]:
+    for received_at, changes in history:
+        if now - received_at < FRESH_SECONDS:
+            yield changes
 
 
 def list_since(
@@ -85,8 +102,8 @@
     """
     found: list[TopicChanges] = []
     reached = since
-    for _, changes in recent.history:
-        if changes.topic == topic and changes.since <= reached < changes.until:
+    for _, changes in recent.history_by_topic.get(topic, ()):
+        if changes.since <= reached < changes.until:
             found.append(changes)
             reached = changes.until
     return tuple(found) if reached == until else ()
--- a/marlbend/test/test_gossip.py
+++ b/marlbend/test/test_gossip.py
@@ -83,12 +83,41 @@
     )
 
 
+def test_long_change_does_not_hold_back_changes_of_other_topics() -> None:
+    """They were left out of heartbeats for half a second."""
+    gossip = make_gossip(5)
+    too_long = TopicChanges(Topic.CONFIGURATION, 5, 7, bytes(10_000))
+    later = TopicChanges(Topic.CONFIGURATION, 7, 9, bytes(10))
+    upstreams = make_change(8, 9, 'i-9')
+    domains = TopicChanges(Topic.DOMAINS_OUT, 8, 9, bytes(10))
+    for changes in (too_long, later, upstreams, domains):
+        record_changes(gossip.recent_changes, changes, 100)
+    fresh = list_fresh_changes(gossip.recent_changes, 100)
+    assert {each.topic for each in fresh} == {
+        Topic.UPSTREAMS,
+        Topic.DOMAINS_OUT,
+    }
+
+
+def test_long_change_does_not_evict_changes_of_other_topics() -> None:
+    gossip = make_gossip(5)
+    upstreams = make_change(5, 7, 'i-7')
+    record_changes(gossip.recent_changes, upstreams, 100)
+    too_long = TopicChanges(Topic.CONFIGURATION, 5, 7, bytes(100_000))
+    record_changes(gossip.recent_changes, too_long, 100)
+    assert list_since(gossip.recent_changes, Topic.UPSTREAMS, 5, 7) == (
+        upstreams,
+    )
+    assert not list_since(gossip.recent_changes, Topic.CONFIGURATION, 5, 7)
+
+
 def test_history_of_changes_is_bounded() -> None:
     gossip = make_gossip(5)
     for number in range(100):
         change = TopicChanges(Topic.UPSTREAMS, number, number + 1, bytes(1000))
         record_changes(gossip.recent_changes, change, 100)
-    assert len(gossip.recent_changes.history) == 64
+    history = gossip.recent_changes.history_by_topic[Topic.UPSTREAMS]
+    assert len(history) == 64
     assert not list_since(gossip.recent_changes, Topic.UPSTREAMS, 0, 100)
     assert (
         len(list_since(gossip.recent_changes, Topic.UPSTREAMS, 90, 100)) == 10
