Limit the wait for a response instead of the time it takes

The time limits of reads and fetches included the transfer. A watch that returned a large configuration shortly before its wait ended had half a second for it, and a list of more bytes than the link carries in 2 s never succeeded: the instance logged E300, gave up being the reader and tried again, with the same result.

The limit now applies until the response begins; after that a second without any further part of it ends the request.

The new test timed out before: a configuration that takes 3 s to read was never in force.

--- a/marlbend/http/client.py
+++ b/marlbend/http/client.py
@@ -19,6 +19,8 @@
 __all__ = ('ClientResponse', 'Connection')
 
 CONNECT_TIMEOUT_SECONDS: Final = 1.0
+# Between two parts of a response, whose length is not known beforehand.
+PROGRESS_TIMEOUT_SECONDS: Final = 1.0
 _CHUNK_BYTES: Final = 65_536
 _REQUEST_HEAD: Final = (
     '{method} {path} HTTP/1.1\r\nHost: {host}\r\n'
@@ -87,13 +89,13 @@
         timeout_seconds: float,
         body: bytes = b'',
     ) -> ClientResponse:
-        """Return the response.
+        """Return the response, which must begin within the timeout.
 
-        Raise SERVER_UNREACHABLE if there is none, or if it is malformed.
+        Raise SERVER_UNREACHABLE if there is none, if no further part of it
+        arrives for `PROGRESS_TIMEOUT_SECONDS`, or if it is malformed.
         """
         try:
-            async with asyncio.timeout(timeout_seconds):
-                return await self._exchange(method, path, body)
+            return await self._exchange(method, path, timeout_seconds, body)
         except (OSError, EOFError, httptools.HttpParserError) as error:
             self.close()
             raise _unreachable(self._endpoint, error) from None
@@ -117,22 +119,28 @@
         self,
         method: str,
         path: str,
+        timeout_seconds: float,
         body: bytes,
     ) -> ClientResponse:
-        stream = await self._connect()
         head = _REQUEST_HEAD.format(
             method=method, path=path, host=self._endpoint[0], size=len(body)
         )
-        stream.writer.write(head.encode() + body)
+        async with asyncio.timeout(timeout_seconds):
+            stream = await self._connect()
+            stream.writer.write(head.encode() + body)
+            first_chunk = await _read_chunk(stream)
+        return await self._receive(stream, first_chunk)
+
+    async def _receive(
+        self, stream: _Stream, first_chunk: bytes
+    ) -> ClientResponse:
+        started_at = steady_seconds()
         collector = _ResponseCollector()
         parser = httptools.HttpResponseParser(collector)
-        started_at: float = 0
+        parser.feed_data(first_chunk)
         while not collector.is_complete:
-            chunk = await stream.reader.read(_CHUNK_BYTES)
-            if not chunk:
-                raise EOFError
-            started_at = started_at or steady_seconds()
-            parser.feed_data(chunk)
+            async with asyncio.timeout(PROGRESS_TIMEOUT_SECONDS):
+                parser.feed_data(await _read_chunk(stream))
         if not parser.should_keep_alive():
             self.close()
         return ClientResponse(
@@ -141,7 +149,7 @@
             steady_seconds() - started_at,
         )
 
-    async def _connect(self) -> '_Stream':
+    async def _connect(self) -> _Stream:
         if self._stream is None:
             async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
                 streams = await asyncio.open_connection(*self._endpoint)
@@ -149,6 +157,13 @@
         return self._stream
 
 
+async def _read_chunk(stream: _Stream) -> bytes:
+    chunk = await stream.reader.read(_CHUNK_BYTES)
+    if not chunk:
+        raise EOFError
+    return chunk
+
+
 def _unreachable(endpoint: tuple[str, int], error: Exception) -> MarlbendError:
     reason = str(error) or type(error).__name__
     target = f'{endpoint[0]}:{endpoint[1]}'
--- a/marlbend/test/test_propagation.py
+++ b/marlbend/test/test_propagation.py
@@ -10,6 +10,7 @@
 from marlbend.clock import steady_seconds
 from marlbend.edge.reload import STALENESS_SHARE
 from marlbend.edge.topics import decode_topic
+from marlbend.edge.watch import LIST_TIMEOUT_SECONDS
 from marlbend.http import Connection
 from marlbend.steering.documents import Publication, RouteSpec, ServiceLimits
 from marlbend.steering.gossip import Topic
@@ -98,6 +99,17 @@
     run_with_fleet(scenario)
 
 
+def test_response_that_takes_longer_than_its_time_limit_is_received() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        instance = await fleet.add('n1', link_bytes_per_second=100_000)
+        await wait_until(lambda: instance.version == 3)
+        await publish_routes(fleet, 4)
+        seconds = await wait_until(lambda: instance.version == 4)
+        assert LIST_TIMEOUT_SECONDS < seconds < APPLY_SECONDS
+
+    run_with_fleet(scenario)
+
+
 def test_change_of_one_route_does_not_send_all_routes() -> None:
     """The other instance can neither read nor fetch the whole."""
 
