Read the latest version of a watched object on a plain fabric, too

With 20 versions of 288 kB within 2 s, behind a link of 625 kB/s, the last one was seen 8.9 s after it was written; 5 s are the target.

After a response with replaced versions the watcher reads the object, until it has no later version. The new test failed before and passes.

--- a/marlbend/ownership/watch.py
+++ b/marlbend/ownership/watch.py
@@ -23,12 +23,17 @@
 
 @final
 class _WatchState:
-    """Hold the last version seen and the current retry delay."""
+    """Hold the last version seen and the current retry delay.
 
-    __slots__ = ('backoff_seconds', 'version')
+    `is_behind` is set while versions come faster than they are read.  A watch
+    returns each of them in full; a read returns only the last one.
+    """
+
+    __slots__ = ('backoff_seconds', 'is_behind', 'version')
 
     def __init__(self) -> None:
         self.version = 0
+        self.is_behind = False
         self.backoff_seconds: float = 0
 
 
@@ -42,7 +47,7 @@
     state = _WatchState()
     while True:
         try:
-            stored = await platform.watch(*path, after=state.version)
+            stored = await _read_or_watch(platform, path, state)
         except MarlbendError as error:
             await _back_off(state, error, random)
             continue
@@ -54,6 +59,21 @@
             await asyncio.sleep(INITIAL_BACKOFF_SECONDS)
 
 
+async def _read_or_watch(
+    platform: PlatformClient,
+    path: tuple[str, str],
+    state: _WatchState,
+) -> VersionedBody | None:
+    if not state.is_behind:
+        stored = await platform.watch(*path, after=state.version)
+        state.is_behind = stored is not None and stored.replaced > 0
+        return stored
+    current = await platform.read(*path)
+    state.is_behind = current.revision > state.version
+    # Without a later version, the next watch waits for one.
+    return current if state.is_behind else None
+
+
 def _handle_response(
     state: _WatchState,
     stored: VersionedBody | None,
--- a/marlbend/platform/client.py
+++ b/marlbend/platform/client.py
@@ -16,7 +16,12 @@
 from marlbend.errorcodes import ErrorKind
 from marlbend.errors import MarlbendError
 from marlbend.http import ClientResponse, Connection
-from marlbend.platform.objects import StoredObject, decode_changes, decode_page
+from marlbend.platform.objects import (
+    ObjectChange,
+    StoredObject,
+    decode_changes,
+    decode_page,
+)
 
 __all__ = (
     'PlatformClient',
@@ -56,11 +61,13 @@
 class VersionedBody(msgspec.Struct, frozen=True):
     """Hold the body of an object and its revision.
 
-    Revision zero means that the object does not exist.
+    Revision zero means that the object does not exist.  `replaced` is how many
+    earlier versions a watch returned with this one.
     """
 
     revision: int
     body: msgspec.Raw = msgspec.Raw(b'null')
+    replaced: int = 0
 
 
 class WriteResult(msgspec.Struct, frozen=True):
@@ -130,10 +137,7 @@
         if response.status == _GONE:
             return await self.read(kind, name)
         changes, _ = decode_changes(expect_status(response, self.url, _OK).body)
-        for stored, deleted in reversed(changes):
-            if stored.meta.name == name and not deleted:
-                return VersionedBody(stored.meta.rev, stored.spec)
-        return None
+        return _find_last_version(changes, name)
 
     async def write(
         self,
@@ -201,6 +205,20 @@
     raise MarlbendError(kind, text)
 
 
+def _find_last_version(
+    changes: list[ObjectChange], name: str
+) -> VersionedBody | None:
+    versions = [
+        stored
+        for stored, deleted in changes
+        if stored.meta.name == name and not deleted
+    ]
+    if not versions:
+        return None
+    last = versions[-1]
+    return VersionedBody(last.meta.rev, last.spec, len(versions) - 1)
+
+
 def _decode_body(response: ClientResponse, url: str) -> VersionedBody:
     if response.status == _NOT_FOUND:
         return VersionedBody(0)
--- a/marlbend/test/test_propagation.py
+++ b/marlbend/test/test_propagation.py
@@ -1,6 +1,7 @@
 """Spread large configurations among instances behind slow links."""
 
 import asyncio
+from random import Random
 
 import msgspec
 import pytest
@@ -12,6 +13,8 @@
 from marlbend.edge.topics import decode_topic
 from marlbend.edge.watch import LIST_TIMEOUT_SECONDS
 from marlbend.http import Connection
+from marlbend.ownership.watch import watch_object
+from marlbend.platform.client import PlatformClient
 from marlbend.steering.documents import Publication, RouteSpec, ServiceLimits
 from marlbend.steering.gossip import Topic
 from marlbend.steering.routes import change_publication, compare_publications
@@ -23,6 +26,7 @@
     run_with_fleet,
     wait_until,
 )
+from marlbend.test.links import Link, start_link
 from marlbend.wire.compression import MAX_BYTES, compress, decompress
 
 # The users' target for a change of the configuration on grown deployments.
@@ -33,6 +37,7 @@
 INSTANCES = 8
 STORM_SECONDS = 8.0
 STORM_INTERVAL_SECONDS = 0.33
+LINK_ENDPOINT = ('127.9.2.1', 6073)
 # Nothing listens there, so that the instance cannot reach the store.
 UNREACHABLE_STORE = ('127.0.0.1', 9)
 
@@ -99,6 +104,35 @@
     run_with_fleet(scenario)
 
 
+def test_watcher_does_not_read_every_version_of_a_large_object() -> None:
+    """Steering by owner watches whole configurations, too."""
+
+    async def scenario(fleet: Fleet) -> None:
+        server = await start_link(
+            Link(LINK_BYTES_PER_SECOND), LINK_ENDPOINT, fleet.address
+        )
+        seen: list[int] = []
+        address, port = LINK_ENDPOINT
+        watcher = asyncio.create_task(
+            watch_object(
+                PlatformClient(f'http://{address}:{port}'),
+                ('config', 'main'),
+                lambda stored: seen.append(stored.revision),
+                Random(1),
+            )
+        )
+        await wait_until(lambda: bool(seen))
+        for version in range(4, 24):
+            await publish_routes(fleet, version)
+            await asyncio.sleep(0.1)
+        seconds = await wait_until(lambda: seen[-1] == fleet.store.revision)
+        assert seconds < APPLY_SECONDS
+        watcher.cancel()
+        server.close()
+
+    run_with_fleet(scenario)
+
+
 def test_response_that_takes_longer_than_its_time_limit_is_received() -> None:
     async def scenario(fleet: Fleet) -> None:
         instance = await fleet.add('n1', link_bytes_per_second=100_000)
