--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -47,6 +47,9 @@
     parser.add_argument(
         '--instances', type=int, default=0, help='drawn from the seed'
     )
+    parser.add_argument(
+        '--idle-routes', type=int, default=0, help='routes without traffic'
+    )
     parser.add_argument('--replay', metavar='FILE', help='a saved schedule')
     parser.add_argument('--json', action='store_true')
     return parser.parse_args()
@@ -56,7 +59,10 @@
     if arguments.replay:
         saved = pathlib.Path(arguments.replay).read_bytes()
         return msgspec.json.decode(saved, type=Schedule)
-    return draw_schedule(arguments.seed, arguments.seconds, arguments.instances)
+    schedule = draw_schedule(
+        arguments.seed, arguments.seconds, arguments.instances
+    )
+    return msgspec.structs.replace(schedule, idle_routes=arguments.idle_routes)
 
 
 def _print_report(report: Report, *, as_json: bool) -> None:
--- a/soak/run_state.py
+++ b/soak/run_state.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from collections.abc import Iterator
 from random import Random
 from types import MappingProxyType
 from typing import Final
@@ -56,6 +57,9 @@
 MARKER_ADDRESS_FORMAT: Final = '198.18.1.{}'
 # After this many releases, markers have the same addresses again.
 MARKER_COUNT: Final = 250
+# The first part counts nets, the second one the addresses of a net.
+IDLE_ADDRESS_FORMAT: Final = '198.19.{}.{}'
+IDLE_ROUTES_PER_NET: Final = 256
 # Upstreams of each service at the start of a run.
 UPSTREAM_COUNTS: Final = (('catalog', 6), ('survey', 3))
 WARMUP_FLOWS_PER_SECOND: Final = 1.0
@@ -71,6 +75,7 @@
     `pinned_instance_by_port` names the instance that gets the packets of a
     caller's port instead of the one that the routers would choose.
     `domains_out` holds the domains that an operator has taken out.
+    `idle_routes` is the number of routes without traffic in each release.
     `starved_seconds` is the total time in which the machine starved the run's
     processes of CPU time.
     """
@@ -83,6 +88,7 @@
     caller_by_domain: dict[str, Caller] = {}
     pinned_instance_by_port: dict[int, str] = {}
     starved_seconds: float = 0
+    idle_routes: int = 0
     domains_out: set[str] = set()
     tasks: set[asyncio.Task[None]] = set()
 
@@ -106,6 +112,7 @@
         )
         for endpoint, service in service_by_endpoint.items()
     ]
+    routes.extend(_list_idle_routes(run.idle_routes))
     warmup_rates = dict.fromkeys(SERVICES, WARMUP_FLOWS_PER_SECOND)
     document = describe_configuration(version, routes, warmup_rates)
     await write_object(run, ('config', 'main'), document)
@@ -115,6 +122,13 @@
         )
 
 
+def _list_idle_routes(count: int) -> Iterator[dict[str, object]]:
+    for number in range(count):
+        address_parts = divmod(number, IDLE_ROUTES_PER_NET)
+        address = IDLE_ADDRESS_FORMAT.format(*address_parts)
+        yield describe_route((address, 443), SERVICES[0])
+
+
 def _make_routes(version: int) -> dict[Endpoint, str]:
     """Return the service of each route in a release."""
     service_by_endpoint = {
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -83,12 +83,16 @@
 
 
 class Schedule(msgspec.Struct, frozen=True):
-    """Describe a run; `seconds` is its length."""
+    """Describe a run; `seconds` is its length.
+
+    Every release has `idle_routes` routes without traffic beside the others.
+    """
 
     seed: int
     seconds: float
     instances: int
     steps: tuple[Step, ...]
+    idle_routes: int = 0
 
 
 def draw_schedule(seed: int, seconds: float, instances: int = 0) -> Schedule:
--- a/soak/wiring.py
+++ b/soak/wiring.py
@@ -74,6 +74,7 @@
     for service, count in UPSTREAM_COUNTS:
         for number in range(count):
             await start_upstream(run, service, DOMAINS[number % len(DOMAINS)])
+    run.idle_routes = schedule.idle_routes
     await publish_next_release(run)
     prefix = run.fleet.prefix
     for number, domain in enumerate(DOMAINS, 1):
