Leave time to read a large configuration after the reader fails

With the reader's connections to the platform silent, a change acknowledged just after its last watch returned was read by the next reader 3.5 s later, and directly by the others 4.25 s later, whatever its size.

Watches wait for 0.6 of the staleness limit, and the limit is 0.75 of the time allowed, so that the next reader starts after 2.75 s and the others after 3.75 s. The reader makes a third more calls while nothing changes; the fleet has one reader.

--- a/marlbend/edge/reload.py
+++ b/marlbend/edge/reload.py
@@ -30,8 +30,9 @@
 # Limits the delay in noticing a change without a signal.
 POLL_SECONDS: Final = 2.0
 # The staleness limit as a share of the time in which a change has to be in
-# force.  The rest is left for the call that reads the platform directly.
-STALENESS_SHARE: Final = 0.85
+# force.  The rest is left for reading the platform directly: a large
+# configuration takes a second on a slow link.
+STALENESS_SHARE: Final = 0.75
 _MILLISECONDS_PER_SECOND: Final = 1000
 # These need a restart, since their sockets and names last as long as the
 # process.
--- a/marlbend/edge/watch.py
+++ b/marlbend/edge/watch.py
@@ -50,8 +50,8 @@
 
 # A watch takes up to this share of the staleness limit, above which the other
 # instances read the platform directly.  The rest is left for the response and
-# the heartbeats that spread it.
-WATCH_SHARE: Final = 0.7
+# the heartbeats that spread it or, if there is none, for the next reader.
+WATCH_SHARE: Final = 0.6
 # The platform has this much longer to respond than it was asked to wait.
 WATCH_GRACE_SECONDS: Final = 0.5
 LIST_TIMEOUT_SECONDS: Final = 2.0
--- a/marlbend/test/test_propagation.py
+++ b/marlbend/test/test_propagation.py
@@ -33,7 +33,11 @@
 APPLY_SECONDS = 5.0
 # Half of 10 Mbit/s; callers' packets use the rest.
 LINK_BYTES_PER_SECOND = 625_000
+# Half of 5 Mbit/s.
+SLOWEST_LINK_BYTES_PER_SECOND = 312_500
+FAST_LINK_BYTES_PER_SECOND = 50_000_000
 ROUTES = 1_640
+MANY_ROUTES = 3_040
 INSTANCES = 8
 STORM_SECONDS = 8.0
 STORM_INTERVAL_SECONDS = 0.33
@@ -104,6 +108,36 @@
     run_with_fleet(scenario)
 
 
+def test_reader_that_loses_the_store_does_not_delay_a_large_configuration() -> (
+    None
+):
+    """Another instance had too little time left to read it."""
+
+    async def scenario(fleet: Fleet) -> None:
+        # Fast links keep the watches of all topics in step at first.
+        await publish_routes(fleet, 4, MANY_ROUTES)
+        instances = [
+            await add_with_target(fleet, name, FAST_LINK_BYTES_PER_SECOND)
+            for name in ('a', 'b')
+        ]
+        reader = min(instances, key=lambda each: each.gossip.myself.rank)
+        other = max(instances, key=lambda each: each.gossip.myself.rank)
+        await wait_until(lambda: reader.version == other.version == 4)
+        assert other.links is not None
+        for link in other.links:
+            link.bytes_per_second = SLOWEST_LINK_BYTES_PER_SECOND
+        confirmed_at = reader.gossip.confirmed_at_by_topic
+        previous = confirmed_at[Topic.CONFIGURATION]
+        await wait_until(lambda: confirmed_at[Topic.CONFIGURATION] > previous)
+        assert reader.links is not None
+        reader.links[1].free_at = float('inf')
+        await publish_routes(fleet, 5, MANY_ROUTES)
+        seconds = await wait_until(lambda: other.version == 5)
+        assert seconds < APPLY_SECONDS
+
+    run_with_fleet(scenario)
+
+
 def test_watcher_does_not_read_every_version_of_a_large_object() -> None:
     """Steering by owner watches whole configurations, too."""
 
@@ -232,15 +266,7 @@
 async def start_instances(fleet: Fleet) -> list[Instance]:
     """Return instances that all have the configuration of many routes."""
     for number in range(INSTANCES):
-        instance = await fleet.add(
-            f'n{number}',
-            '127.9.2.1',
-            link_bytes_per_second=LINK_BYTES_PER_SECOND,
-        )
-        instance.announces_changes = True
-        instance.gossip.staleness_limit_by_topic = dict.fromkeys(
-            Topic, STALENESS_SHARE * APPLY_SECONDS
-        )
+        await add_with_target(fleet, f'n{number}')
     fleet.version = 4
     await publish_routes(fleet, fleet.version)
     instances = fleet.instances
@@ -248,9 +274,27 @@
     return instances
 
 
-async def publish_routes(fleet: Fleet, version: int) -> None:
+async def add_with_target(
+    fleet: Fleet,
+    name: str,
+    link_bytes_per_second: float = LINK_BYTES_PER_SECOND,
+) -> Instance:
+    """Start an instance behind a link, with the target of the users."""
+    instance = await fleet.add(
+        name, '127.9.2.1', link_bytes_per_second=link_bytes_per_second
+    )
+    instance.announces_changes = True
+    instance.gossip.staleness_limit_by_topic = dict.fromkeys(
+        Topic, STALENESS_SHARE * APPLY_SECONDS
+    )
+    return instance
+
+
+async def publish_routes(
+    fleet: Fleet, version: int, route_count: int = ROUTES
+) -> None:
     """Publish many routes, one of which depends on the version."""
-    configuration = make_configuration(version, ROUTES)
+    configuration = make_configuration(version, route_count)
     routes = configuration['routes']
     assert isinstance(routes, list)
     for route in routes:
