--- a/marlbend/test/test_propagation.py
+++ b/marlbend/test/test_propagation.py
@@ -38,6 +38,7 @@
 FAST_LINK_BYTES_PER_SECOND = 50_000_000
 ROUTES = 1_640
 MANY_ROUTES = 3_040
+UPSTREAMS = 1_500
 INSTANCES = 8
 STORM_SECONDS = 8.0
 STORM_INTERVAL_SECONDS = 0.33
@@ -75,6 +76,36 @@
     run_with_fleet(scenario)
 
 
+def test_storm_of_changes_to_many_upstreams_does_not_delay_them() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        names = [f'i-{number:04x}' for number in range(UPSTREAMS)]
+        for name in names:
+            await fleet.register(name)
+        for number in range(INSTANCES):
+            await add_with_target(fleet, f'n{number}')
+        instances = fleet.instances
+        await wait_until(
+            lambda: all(len(each.upstreams) > UPSTREAMS for each in instances)
+        )
+        slots = 1
+        storm_ends_at = steady_seconds() + STORM_SECONDS
+        while steady_seconds() < storm_ends_at:
+            slots += 1
+            for name in names:
+                await fleet.register(name, slots=slots)
+            await asyncio.sleep(STORM_INTERVAL_SECONDS)
+        seconds = await wait_until(
+            lambda: all(
+                each.steering.pool.by_name[name].entry.slots == slots
+                for each in instances
+                for name in names
+            )
+        )
+        assert seconds < APPLY_SECONDS
+
+    run_with_fleet(scenario)
+
+
 def test_stale_instance_does_not_read_versions_that_were_replaced() -> None:
     async def scenario(fleet: Fleet) -> None:
         instance = await fleet.add('n1', link_bytes_per_second=10_000_000)
