--- a/marlbend/edge/peers.py
+++ b/marlbend/edge/peers.py
@@ -38,7 +38,11 @@
     merge_heartbeat,
     update_revision,
 )
-from marlbend.steering.members import choose_targets, remove_expired_members
+from marlbend.steering.members import (
+    age_in_milliseconds,
+    choose_targets,
+    remove_expired_members,
+)
 from marlbend.steering.recent_changes import list_since, record_changes
 from marlbend.steering.state import Steering
 from marlbend.wire.compression import compress, decompress
@@ -88,14 +92,15 @@
 
     `age` is the time since `revision` was known to be the latest, in
     milliseconds.  `topic_contents` is empty if `changes` lead from the
-    requested revision to this one.  `compressed` tells how it is encoded.
+    requested revision to this one; otherwise `is_compressed` tells whether it
+    is compressed.
     """
 
     revision: int
     age: int
     topic_contents: bytes
     changes: tuple[TopicChanges, ...] = ()
-    compressed: bool = False
+    is_compressed: bool = False
 
 
 @final
@@ -273,24 +278,28 @@
     """Return the changes since the revision in a query, or all contents."""
     gossip = node.gossip
     revision = gossip.revision_by_topic[topic]
-    age = steady_seconds() - gossip.confirmed_at_by_topic[topic]
+    age = age_in_milliseconds(
+        gossip.confirmed_at_by_topic[topic], steady_seconds()
+    )
     since, _, encoding = query.partition('&')
-    compressed = encoding == _COMPRESSED
+    accepts_compressed = encoding == _COMPRESSED
     requested = since.removeprefix(_SINCE_PREFIX)
-    changes: tuple[TopicChanges, ...] = ()
     if requested.isdecimal() and (
-        compressed or topic is not Topic.CONFIGURATION
+        accepts_compressed or topic is not Topic.CONFIGURATION
     ):
         changes = list_since(
             gossip.recent_changes, topic, int(requested), revision
         )
-    topic_contents = b'' if changes else encode_topic(node.steering, topic)
+        if changes:
+            return _TopicReply(revision, age, b'', changes)
+    body = encode_topic(node.steering, topic)
+    if accepts_compressed:
+        body = compress(body)
     return _TopicReply(
         revision,
-        int(age * _MILLISECONDS_PER_SECOND),
-        compress(topic_contents) if compressed else topic_contents,
-        changes,
-        compressed,
+        age,
+        body,
+        is_compressed=accepts_compressed,
     )
 
 
@@ -341,7 +350,7 @@
         )
     else:
         body = reply.topic_contents
-        if reply.compressed:
+        if reply.is_compressed:
             body = decompress(body)
         apply_topic(node.steering, topic, decode_topic(topic, body))
         update_revision(node.gossip, topic, reply.revision)
