--- a/marlbend/edge/watch.py
+++ b/marlbend/edge/watch.py
@@ -300,11 +300,16 @@
 ) -> TopicChanges:
     """Return what a list changed, or no changes if only the list tells."""
     if watcher.topic is not Topic.CONFIGURATION or not known_revision:
-        return TopicChanges(watcher.topic, revision, revision, b'')
+        return _no_changes(watcher.topic, revision)
     body = _encode_body(watcher, previous, ())
     return TopicChanges(watcher.topic, known_revision, revision, body)
 
 
+def _no_changes(topic: Topic, revision: int) -> TopicChanges:
+    """Return changes that lead nowhere, for heartbeats without any."""
+    return TopicChanges(topic, revision, revision, b'')
+
+
 def _encode_body(
     watcher: TopicWatcher,
     previous: Publication,
@@ -338,11 +343,6 @@
         ) from None
 
 
-def _announce_nothing(watcher: TopicWatcher) -> None:
-    revision = watcher.gossip.revision_by_topic[watcher.topic]
-    watcher.announce(TopicChanges(watcher.topic, revision, revision, b''))
-
-
 def _record_failure(watcher: TopicWatcher, error: MarlbendError) -> None:
     if not watcher.platform_lost:
         kind = watcher.topic.name.lower()
@@ -351,6 +351,7 @@
     if watcher.gossip.myself.can_read:
         watcher.gossip.myself.can_read = False
         # Heartbeats sent now make another instance the reader sooner.
-        _announce_nothing(watcher)
+        revision = watcher.gossip.revision_by_topic[watcher.topic]
+        watcher.announce(_no_changes(watcher.topic, revision))
     next_delay = max(watcher.retry_delay * 2, INITIAL_RETRY_SECONDS)
     watcher.retry_delay = min(next_delay, MAX_RETRY_SECONDS)
--- a/marlbend/observe/transfers.py
+++ b/marlbend/observe/transfers.py
@@ -9,9 +9,9 @@
 class TopicTransfers:
     """Hold the counters of one topic.
 
-    `reads` counts responses of the platform to lists and watches, and
-    `superseded` the changes in them that a later change to the same object in
-    the same response replaced.  `fetches` counts replies of other instances,
+    `reads` counts responses of the platform to lists and watches.  `superseded`
+    counts the changes in them that another change to the same object follows in
+    the same response.  `fetches` counts replies of other instances,
     `failed_fetches` the requests without a usable reply, and `served` the
     replies to other instances.  `applied_changes` counts changes received from
     other instances that were applied, and `unusable_changes` those that lead
--- a/marlbend/ownership/watch.py
+++ b/marlbend/ownership/watch.py
@@ -66,7 +66,7 @@
 ) -> VersionedBody | None:
     if not state.is_behind:
         stored = await platform.watch(*path, after=state.version)
-        state.is_behind = stored is not None and stored.replaced > 0
+        state.is_behind = stored is not None and stored.superseded > 0
         return stored
     current = await platform.read(*path)
     state.is_behind = current.revision > state.version
--- a/marlbend/platform/client.py
+++ b/marlbend/platform/client.py
@@ -61,13 +61,13 @@
 class VersionedBody(msgspec.Struct, frozen=True):
     """Hold the body of an object and its revision.
 
-    Revision zero means that the object does not exist.  `replaced` is how many
-    earlier versions a watch returned with this one.
+    Revision zero means that the object does not exist.  `superseded` is how
+    many earlier versions a watch returned with this one.
     """
 
     revision: int
     body: msgspec.Raw = msgspec.Raw(b'null')
-    replaced: int = 0
+    superseded: int = 0
 
 
 class WriteResult(msgspec.Struct, frozen=True):
