--- a/marlbend/edge/watch.py
+++ b/marlbend/edge/watch.py
@@ -3,7 +3,9 @@
 Designed for a store that is down, slow, partitioned or rejects this instance,
 and for watches that stop responding: each watch has its own timeout, failures
 are retried after an exponential delay with jitter, and the topic is listed
-again if the store no longer has the history to watch from.
+again if the store no longer has the history to watch from.  Also designed for
+links that cannot carry every version of a large object: then only the latest
+one is read.
 """
 
 import asyncio
