Count what instances send to each other, by cause

Whether their links are full, and of what, no counter or log tells: heartbeats that are periodic, urgent, sent for a change or as a reply, and fetched topics all go uncounted. Add counters by cause to the metrics and the status, and event 307 with the bytes of the last 10 s. No decision changes.

--- a/marlbend/edge/maintenance.py
+++ b/marlbend/edge/maintenance.py
@@ -4,7 +4,7 @@
 gossip state into the steering state, which therefore has them up to half a
 second late.  It also expires idle flows, ends upstreams that stayed missing,
 restores failure domains that have returned, and logs new partitions and
-ejections.
+ejections.  Another task logs now and then what was sent to other instances.
 """
 
 import asyncio
@@ -12,14 +12,16 @@
 
 from marlbend.clock import steady_seconds
 from marlbend.events import Event, emit
+from marlbend.observe.control_traffic import ControlTraffic
 from marlbend.steering import Steering
 from marlbend.steering.flows import expire_flows
 from marlbend.steering.gossip import GossipState, Topic, list_live_members
 from marlbend.steering.upstreams import expire_upstreams
 
-__all__ = ('restore_domains', 'run_maintenance')
+__all__ = ('log_control_traffic', 'restore_domains', 'run_maintenance')
 
 MAINTENANCE_INTERVAL_SECONDS: Final = 0.5
+CONTROL_LOG_SECONDS: Final = 10.0
 
 
 async def run_maintenance(steering: Steering, gossip: GossipState) -> None:
@@ -51,6 +53,24 @@
             emit(Event.UPSTREAM_ENDED, upstream=ended.name, reason='missing')
 
 
+async def log_control_traffic(traffic: ControlTraffic) -> None:
+    """Log periodically what was sent to other instances, until cancelled."""
+    logged_by_cause = dict(traffic.bytes_by_cause)
+    while True:
+        await asyncio.sleep(CONTROL_LOG_SECONDS)
+        bytes_by_cause = {
+            cause: total - logged_by_cause[cause]
+            for cause, total in traffic.bytes_by_cause.items()
+        }
+        logged_by_cause = dict(traffic.bytes_by_cause)
+        emit(
+            Event.CONTROL_SENT,
+            size=sum(bytes_by_cause.values()),
+            seconds=CONTROL_LOG_SECONDS,
+            **{cause.value: size for cause, size in bytes_by_cause.items()},
+        )
+
+
 def _log_ejections(steering: Steering, logged: dict[str, float]) -> None:
     """Log each ejection of an upstream once.
 
--- a/marlbend/edge/peers.py
+++ b/marlbend/edge/peers.py
@@ -30,6 +30,11 @@
     RequestHandler,
     ServerResponse,
 )
+from marlbend.observe.control_traffic import (
+    Cause,
+    ControlTraffic,
+    record_sent,
+)
 from marlbend.steering.gossip import (
     GossipState,
     Topic,
@@ -111,7 +116,8 @@
     datagram to an address.  `fetching` holds the topics that are being fetched,
     and `tasks` the tasks that fetch them; those in `whole_needed` are fetched
     whole, since changes did not apply.  `urgent_sent_at` is when urgent
-    heartbeats were last sent, in steady seconds.
+    heartbeats were last sent, in steady seconds.  `traffic` counts what was
+    sent.
     """
 
     __slots__ = (
@@ -121,6 +127,7 @@
         'send',
         'steering',
         'tasks',
+        'traffic',
         'urgent_sent_at',
         'whole_needed',
     )
@@ -141,6 +148,7 @@
         self.fetching: set[Topic] = set()
         self.whole_needed: set[Topic] = set()
         self.tasks: set[asyncio.Task[None]] = set()
+        self.traffic = ControlTraffic()
 
 
 async def send_heartbeats(node: GossipNode) -> None:
@@ -155,17 +163,20 @@
         alone = not node.gossip.members.by_name
         for seed in node.seeds:
             if alone or random.random() < SEED_PROBABILITY:
-                node.send(
-                    _encode_heartbeat(node, '', reply_requested=True), seed
+                _send(
+                    node,
+                    Cause.PERIODIC,
+                    _encode_heartbeat(node, '', reply_requested=True),
+                    seed,
                 )
         # This goes through all members, so it runs only about every 10 s, too.
         if random.random() < SEED_PROBABILITY:
             remove_expired_members(node.gossip.members, steady_seconds())
-        send_gossip_round(node)
+        send_gossip_round(node, Cause.PERIODIC)
         await asyncio.sleep(HEARTBEAT_SECONDS)
 
 
-def send_gossip_round(node: GossipNode) -> None:
+def send_gossip_round(node: GossipNode, cause: Cause) -> None:
     """Send one heartbeat to each of a few instances."""
     gossip = node.gossip
     targets = choose_targets(gossip.members, node.steering.random)
@@ -175,7 +186,7 @@
             node, member.domain
         )
         datagram_by_domain[member.domain] = datagram
-        node.send(datagram, member.endpoint)
+        _send(node, cause, datagram, member.endpoint)
 
 
 def send_urgent_heartbeats(node: GossipNode) -> None:
@@ -187,7 +198,7 @@
     gossip = node.gossip
     datagram = _encode_heartbeat(node, gossip.myself.domain)
     for member in gossip.members.local[:URGENT_TARGETS]:
-        node.send(datagram, member.endpoint)
+        _send(node, Cause.URGENT, datagram, member.endpoint)
 
 
 def announce_departure(node: GossipNode) -> None:
@@ -196,7 +207,7 @@
     members = make_heartbeat(node.gossip, node.steering.random, now).members
     datagram = encode_heartbeat(Heartbeat(members[:1], leaving=True))
     for member in node.gossip.members.by_name.values():
-        node.send(datagram, member.endpoint)
+        _send(node, Cause.LEAVING, datagram, member.endpoint)
 
 
 async def stop_fetching(node: GossipNode) -> None:
@@ -225,7 +236,7 @@
     if apply_peer_changes(
         node.steering, node.gossip, heartbeat.changes, sender_update.name
     ):
-        send_gossip_round(node)
+        send_gossip_round(node, Cause.CHANGE)
     for topic in merge_heartbeat(node.gossip, heartbeat, now):
         if topic not in node.fetching:
             node.fetching.add(topic)
@@ -234,7 +245,9 @@
             task.add_done_callback(node.tasks.discard)
     merge_upstream_updates(node.steering, sender_update, heartbeat, now)
     if heartbeat.reply_requested:
-        node.send(
+        _send(
+            node,
+            Cause.REPLY,
             _encode_heartbeat(node, sender_update.domain, in_full=True),
             sender_address,
         )
@@ -245,7 +258,7 @@
 
     def announce(changes: TopicChanges) -> None:
         record_changes(node.gossip.recent_changes, changes, steady_seconds())
-        send_gossip_round(node)
+        send_gossip_round(node, Cause.CHANGE)
 
     return announce
 
@@ -262,6 +275,7 @@
             transfers = node.gossip.transfers_by_topic[topic]
             transfers.served += 1
             transfers.served_bytes += len(body)
+            record_sent(node.traffic, Cause.TOPIC, len(body))
             return _OK, 'application/msgpack', body
 
         return respond
@@ -360,7 +374,7 @@
         node.whole_needed.discard(topic)
     else:
         node.whole_needed.add(topic)
-    send_gossip_round(node)
+    send_gossip_round(node, Cause.CHANGE)
 
 
 def _record_fetch(
@@ -384,6 +398,13 @@
     )
 
 
+def _send(
+    node: GossipNode, cause: Cause, datagram: bytes, endpoint: Address
+) -> None:
+    record_sent(node.traffic, cause, len(datagram))
+    node.send(datagram, endpoint)
+
+
 def _encode_heartbeat(
     node: GossipNode,
     domain: str,
--- a/marlbend/edge/status.py
+++ b/marlbend/edge/status.py
@@ -7,6 +7,7 @@
 from marlbend.clock import steady_seconds
 from marlbend.edge.peers import GossipNode
 from marlbend.http import ServerResponse
+from marlbend.observe.control_traffic import Cause
 from marlbend.observe.latency import LatencyHistogram
 from marlbend.observe.memory import resident_bytes
 from marlbend.steering.failure_detection import count_busy, is_suspected
@@ -19,6 +20,7 @@
 from marlbend.steering.state import Outcome, Steering
 from marlbend.steering.upstreams import Upstream
 from marlbend.wire.status import (
+    ControlStatus,
     CookieStatus,
     MemberStatus,
     TopicStatus,
@@ -72,6 +74,7 @@
             for outcome in Outcome
         },
         resident_bytes=resident_bytes(),
+        control=_describe_control(node),
     )
 
 
@@ -98,6 +101,18 @@
     )
 
 
+def _describe_control(node: GossipNode) -> dict[str, ControlStatus]:
+    traffic = node.traffic
+    return {
+        cause.value: ControlStatus(
+            traffic.bytes_by_cause[cause],
+            traffic.messages_by_cause[cause],
+            traffic.deferred_by_cause[cause],
+        )
+        for cause in Cause
+    }
+
+
 def _find_state(steering: Steering, upstream: Upstream) -> str:
     conditions = (
         (bool(upstream.ended_at), 'ended'),
@@ -128,6 +143,7 @@
         yield f'marlbend_upstream_flows{labels} {upstream.flows}'
         yield f'marlbend_upstream_busy{labels} {upstream.busy}'
     yield from _transfer_lines(node.gossip)
+    yield from _control_lines(status)
     yield from _gauge_lines(status)
     yield from _handshake_lines(handshake_latencies)
 
@@ -141,6 +157,14 @@
             yield f'marlbend_topic_transfers{labels} {count}'
 
 
+def _control_lines(status: CookieStatus) -> Iterator[str]:
+    for cause, control in status.control.items():
+        labels = f'{{cause="{cause}"}}'
+        yield f'marlbend_control_bytes_total{labels} {control.bytes}'
+        yield f'marlbend_control_messages_total{labels} {control.messages}'
+        yield f'marlbend_control_deferred_total{labels} {control.deferred}'
+
+
 def _gauge_lines(status: CookieStatus) -> Iterator[str]:
     yield f'marlbend_configuration {status.configuration}'
     yield f'marlbend_members {len(status.members)}'
--- a/marlbend/edge/wiring.py
+++ b/marlbend/edge/wiring.py
@@ -15,7 +15,7 @@
 from marlbend import VERSION
 from marlbend.clock import steady_seconds
 from marlbend.edge.decision_log import make_decision_logger
-from marlbend.edge.maintenance import run_maintenance
+from marlbend.edge.maintenance import log_control_traffic, run_maintenance
 from marlbend.edge.peers import (
     GossipNode,
     announce_departure,
@@ -196,6 +196,7 @@
     yield send_heartbeats(node)
     yield watch_settings(instance)
     yield run_maintenance(node.steering, node.gossip)
+    yield log_control_traffic(node.traffic)
 
 
 def _make_watchers(
--- a/marlbend/events.py
+++ b/marlbend/events.py
@@ -87,6 +87,11 @@
         logging.WARNING,
         'upstream {upstream} ejected for {seconds} s: too many short responses',
     )
+    CONTROL_SENT = (
+        307,
+        logging.INFO,
+        'sent {size} bytes to other instances in {seconds} s',
+    )
     UPDATE_FAILED = (
         302,
         logging.INFO,
--- a/marlbend/wire/status.py
+++ b/marlbend/wire/status.py
@@ -3,6 +3,7 @@
 import msgspec
 
 __all__ = (
+    'ControlStatus',
     'CookieStatus',
     'MemberStatus',
     'TopicStatus',
@@ -42,11 +43,24 @@
     silences: int
 
 
+class ControlStatus(msgspec.Struct, frozen=True):
+    """Count what was sent to other instances for one cause.
+
+    `deferred` counts the messages that exceeded the budget.
+    """
+
+    bytes: int
+    messages: int
+    deferred: int
+
+
 class CookieStatus(msgspec.Struct, frozen=True):
     """Report the state of an instance that steers packets by cookie.
 
     `members` holds the live instances, this one first.  `reader` is whether
-    this one is the elected reader of the platform.
+    this one is the elected reader of the platform.  `control` maps each cause
+    of messages to other instances to what was sent; instances of earlier
+    releases do not report it.
     """
 
     name: str
@@ -63,3 +77,4 @@
     upstreams: tuple[UpstreamStatus, ...]
     packets: dict[str, int]
     resident_bytes: int
+    control: dict[str, ControlStatus] = {}
