Limit what an instance spends on reactions to trouble

A silence made an instance send a full heartbeat, changes included (3.7 kB), to 32 members every 30 ms. Its own SYNs waited behind these and counted as silences.

Change: token buckets for urgent heartbeats, rounds for changes, replies in full, topics served, fetches and reopened SYNs, with rates from the link and the processor share, which the settings now name. Urgent heartbeats carry only the upstreams that failed last, and go to a random sample. Heartbeats report on at most 100 upstreams.

--- a/marlbend/edge/maintenance.py
+++ b/marlbend/edge/maintenance.py
@@ -4,33 +4,40 @@
 gossip state into the steering state, which therefore has them up to half a
 second late.  It also expires idle flows, ends upstreams that stayed missing,
 restores failure domains that have returned, and logs new partitions and
-ejections.  Another task logs now and then what was sent to other instances.
+ejections.  Now and then it logs what was sent to other instances.
 """
 
 import asyncio
+import itertools
 from typing import Final
 
 from marlbend.clock import steady_seconds
+from marlbend.edge.peers import GossipNode
 from marlbend.events import Event, emit
-from marlbend.observe.control_traffic import ControlTraffic
+from marlbend.observe.control_traffic import Cause, ControlTraffic
 from marlbend.steering import Steering
 from marlbend.steering.flows import expire_flows
-from marlbend.steering.gossip import GossipState, Topic, list_live_members
+from marlbend.steering.gossip import Topic, list_live_members
 from marlbend.steering.upstreams import expire_upstreams
 
-__all__ = ('log_control_traffic', 'restore_domains', 'run_maintenance')
+__all__ = ('restore_domains', 'run_maintenance')
 
 MAINTENANCE_INTERVAL_SECONDS: Final = 0.5
-CONTROL_LOG_SECONDS: Final = 10.0
+CONTROL_LOG_ROUNDS: Final = 20
 
 
-async def run_maintenance(steering: Steering, gossip: GossipState) -> None:
+async def run_maintenance(node: GossipNode) -> None:
     """Run maintenance periodically, until cancelled."""
+    steering = node.steering
+    gossip = node.gossip
     logged_partitions: set[str] = set()
     logged_ejections: dict[str, float] = {}
-    while True:
+    logged_bytes = dict(node.traffic.bytes_by_cause)
+    for round_number in itertools.count(1):
         await asyncio.sleep(MAINTENANCE_INTERVAL_SECONDS)
         steering.now = steady_seconds()
+        if not round_number % CONTROL_LOG_ROUNDS:
+            _log_control_traffic(node.traffic, logged_bytes)
         _log_partitions(steering, logged_partitions)
         _log_ejections(steering, logged_ejections)
         steering.upstreams_confirmed_at = gossip.confirmed_at_by_topic[
@@ -53,22 +60,21 @@
             emit(Event.UPSTREAM_ENDED, upstream=ended.name, reason='missing')
 
 
-async def log_control_traffic(traffic: ControlTraffic) -> None:
-    """Log periodically what was sent to other instances, until cancelled."""
-    logged_by_cause = dict(traffic.bytes_by_cause)
-    while True:
-        await asyncio.sleep(CONTROL_LOG_SECONDS)
-        bytes_by_cause = {
-            cause: total - logged_by_cause[cause]
-            for cause, total in traffic.bytes_by_cause.items()
-        }
-        logged_by_cause = dict(traffic.bytes_by_cause)
-        emit(
-            Event.CONTROL_SENT,
-            size=sum(bytes_by_cause.values()),
-            seconds=CONTROL_LOG_SECONDS,
-            **{cause.value: size for cause, size in bytes_by_cause.items()},
-        )
+def _log_control_traffic(
+    traffic: ControlTraffic, logged_bytes: dict[Cause, int]
+) -> None:
+    """Log what was sent to other instances since `logged_bytes`."""
+    size_by_cause = {
+        cause.value: total - logged_bytes[cause]
+        for cause, total in traffic.bytes_by_cause.items()
+    }
+    logged_bytes.update(traffic.bytes_by_cause)
+    emit(
+        Event.CONTROL_SENT,
+        size=sum(size_by_cause.values()),
+        seconds=CONTROL_LOG_ROUNDS * MAINTENANCE_INTERVAL_SECONDS,
+        **size_by_cause,
+    )
 
 
 def _log_ejections(steering: Steering, logged: dict[str, float]) -> None:
--- a/marlbend/edge/peers.py
+++ b/marlbend/edge/peers.py
@@ -21,6 +21,7 @@
     merge_upstream_updates,
     updates_for_local_domain,
     updates_for_remote_domain,
+    urgent_updates,
 )
 from marlbend.errors import MarlbendError
 from marlbend.events import Event, emit
@@ -33,8 +34,15 @@
 from marlbend.observe.control_traffic import (
     Cause,
     ControlTraffic,
+    record_deferred,
     record_sent,
 )
+from marlbend.steering.budgets import (
+    count_affordable,
+    seconds_until_available,
+    spend,
+    spend_any,
+)
 from marlbend.steering.gossip import (
     GossipState,
     Topic,
@@ -46,6 +54,7 @@
 from marlbend.steering.members import (
     age_in_milliseconds,
     choose_targets,
+    describe_member,
     remove_expired_members,
 )
 from marlbend.steering.recent_changes import list_since, record_changes
@@ -85,6 +94,7 @@
 URGENT_INTERVAL_SECONDS: Final = 0.03
 _MILLISECONDS_PER_SECOND: Final = 1000
 _OK: Final = 200
+_UNAVAILABLE: Final = 503
 _TOPIC_PATH: Final = '/beliefs/{topic}'
 _SINCE_PREFIX: Final = 'since='
 # Only an instance that sends this accepts compressed contents, and changes of
@@ -177,8 +187,13 @@
 
 
 def send_gossip_round(node: GossipNode, cause: Cause) -> None:
-    """Send one heartbeat to each of a few instances."""
+    """Send one heartbeat to each of a few instances.
+
+    A round for a change that exceeds the budget is left to the periodic one.
+    """
     gossip = node.gossip
+    if cause is Cause.CHANGE and not _can_spend_on_changes(node):
+        return
     targets = choose_targets(gossip.members, node.steering.random)
     datagram_by_domain: dict[str, bytes] = {}
     for member in targets:
@@ -186,18 +201,36 @@
             node, member.domain
         )
         datagram_by_domain[member.domain] = datagram
+        if cause is Cause.CHANGE:
+            bucket = node.steering.local_instance.budgets.changes
+            spend_any(bucket, len(datagram), steady_seconds())
         _send(node, cause, datagram, member.endpoint)
 
 
 def send_urgent_heartbeats(node: GossipNode) -> None:
-    """Send a heartbeat to the local domain before the next periodic one."""
+    """Report failing upstreams to the local domain before the next heartbeat.
+
+    With little budget left, only some members are told; the others learn it
+    from the periodic heartbeats.
+    """
     now = steady_seconds()
     if now - node.urgent_sent_at < URGENT_INTERVAL_SECONDS:
         return
     node.urgent_sent_at = now
     gossip = node.gossip
-    datagram = _encode_heartbeat(node, gossip.myself.domain)
-    for member in gossip.members.local[:URGENT_TARGETS]:
+    datagram = encode_heartbeat(
+        Heartbeat(
+            (describe_member(gossip.myself, now),),
+            upstreams=tuple(urgent_updates(node.steering, now)),
+        )
+    )
+    local = gossip.members.local
+    wanted = min(len(local), URGENT_TARGETS)
+    bucket = node.steering.local_instance.budgets.urgent
+    affordable = min(count_affordable(bucket, len(datagram), now), wanted)
+    record_deferred(node.traffic, Cause.URGENT, wanted - affordable)
+    for member in node.steering.random.sample(local, affordable):
+        spend(bucket, len(datagram), now)
         _send(node, Cause.URGENT, datagram, member.endpoint)
 
 
@@ -238,19 +271,32 @@
     ):
         send_gossip_round(node, Cause.CHANGE)
     for topic in merge_heartbeat(node.gossip, heartbeat, now):
-        if topic not in node.fetching:
+        if topic not in node.fetching and spend(
+            node.steering.local_instance.budgets.fetches, 1, now
+        ):
             node.fetching.add(topic)
             task = asyncio.create_task(_fetch(node, topic, sender_address))
             node.tasks.add(task)
             task.add_done_callback(node.tasks.discard)
     merge_upstream_updates(node.steering, sender_update, heartbeat, now)
     if heartbeat.reply_requested:
-        _send(
-            node,
-            Cause.REPLY,
-            _encode_heartbeat(node, sender_update.domain, in_full=True),
-            sender_address,
-        )
+        _reply_in_full(node, sender_update.domain, sender_address)
+
+
+def _reply_in_full(node: GossipNode, domain: str, endpoint: Address) -> None:
+    """Send a heartbeat that was requested; beyond the budget, none.
+
+    The other instance asks again with its next heartbeat.
+    """
+    datagram = _encode_heartbeat(node, domain, in_full=True)
+    if spend(
+        node.steering.local_instance.budgets.replies,
+        len(datagram),
+        steady_seconds(),
+    ):
+        _send(node, Cause.REPLY, datagram, endpoint)
+    else:
+        record_deferred(node.traffic, Cause.REPLY, 1)
 
 
 def make_announcer(node: GossipNode) -> Callable[[TopicChanges], None]:
@@ -269,9 +315,15 @@
     def make_topic_handler(topic: Topic) -> RequestHandler:
         def respond(query: str) -> ServerResponse:
             if not node.gossip.revision_by_topic[topic]:
-                return 503, 'text/plain', b''
+                return _UNAVAILABLE, 'text/plain', b''
             reply = _make_topic_reply(node, topic, query)
             body = msgspec.msgpack.encode(reply)
+            bucket = node.steering.local_instance.budgets.topics
+            if not spend_any(bucket, len(body), steady_seconds()):
+                # The other instance fetches it from the sender of a later
+                # heartbeat.
+                record_deferred(node.traffic, Cause.TOPIC, 1)
+                return _UNAVAILABLE, 'text/plain', b''
             transfers = node.gossip.transfers_by_topic[topic]
             transfers.served += 1
             transfers.served_bytes += len(body)
@@ -398,6 +450,14 @@
     )
 
 
+def _can_spend_on_changes(node: GossipNode) -> bool:
+    bucket = node.steering.local_instance.budgets.changes
+    if seconds_until_available(bucket, steady_seconds()):
+        record_deferred(node.traffic, Cause.CHANGE, 1)
+        return False
+    return True
+
+
 def _send(
     node: GossipNode, cause: Cause, datagram: bytes, endpoint: Address
 ) -> None:
--- a/marlbend/edge/reload.py
+++ b/marlbend/edge/reload.py
@@ -23,9 +23,16 @@
     split_endpoint,
 )
 from marlbend.platform.client import parse_url
+from marlbend.steering.budgets import make_budgets
 from marlbend.steering.gossip import Topic
+from marlbend.steering.state import Steering
 
-__all__ = ('RunningInstance', 'staleness_limits', 'watch_settings')
+__all__ = (
+    'RunningInstance',
+    'apply_budgets',
+    'staleness_limits',
+    'watch_settings',
+)
 
 # Limits the delay in noticing a change without a signal.
 POLL_SECONDS: Final = 2.0
@@ -113,6 +120,13 @@
     }
 
 
+def apply_budgets(steering: Steering, cookie_settings: CookieSettings) -> None:
+    """Limit the reactions to trouble as the settings require."""
+    steering.local_instance.budgets = make_budgets(
+        cookie_settings.link_megabits, cookie_settings.processor_share
+    )
+
+
 def _reload(instance: RunningInstance) -> None:
     try:
         settings = load_settings(instance.path)
@@ -138,6 +152,7 @@
     instance.node.gossip.staleness_limit_by_topic = staleness_limits(
         cookie_settings
     )
+    apply_budgets(instance.node.steering, cookie_settings)
     logging.getLogger().setLevel(settings.log_level)
     platform_address = parse_url(settings.platform)
     for watcher in instance.watchers:
--- a/marlbend/edge/upstream_updates.py
+++ b/marlbend/edge/upstream_updates.py
@@ -4,6 +4,7 @@
 between failure domains, as their paths to an upstream differ.
 """
 
+import heapq
 from collections.abc import Iterator
 from typing import Final
 
@@ -20,8 +21,15 @@
     'merge_upstream_updates',
     'updates_for_local_domain',
     'updates_for_remote_domain',
+    'urgent_updates',
 )
 
+# How many upstreams a heartbeat reports on: about 2.5 kB, a third of what fits
+# into a datagram.
+MAX_UPDATES: Final = 100
+# How many an urgent heartbeat reports on, which then has 0.3 kB.
+MAX_URGENT_UPDATES: Final = 8
+
 # Unanswered packets of an upstream are reported for this long.  It is the time
 # for which this instance itself uses them, `EVIDENCE_MAX_AGE_SECONDS` of
 # `marlbend.steering.failure_detection`.
@@ -32,41 +40,49 @@
 def updates_for_local_domain(
     steering: Steering, now: float
 ) -> Iterator[UpstreamUpdate]:
-    """Yield the updates of upstreams for instances of the local domain."""
-    for upstream in steering.pool.by_name.values():
-        recently_unanswered = (
-            now - upstream.liveness.last_unanswered_at
-            < UNANSWERED_REPORT_SECONDS
+    """Yield the updates of upstreams for instances of the local domain.
+
+    Of more than `MAX_UPDATES`, choose those that fail, then the busiest.
+    """
+    active = [
+        upstream
+        for upstream in steering.pool.by_name.values()
+        if _is_active(upstream, now)
+    ]
+    if len(active) > MAX_UPDATES:
+        active = heapq.nlargest(
+            MAX_UPDATES,
+            active,
+            key=lambda each: (
+                _is_failing(each, now),
+                each.busy,
+                steering.random.random(),
+            ),
         )
-        decay_counts(upstream, now)
-        is_ejected = upstream.outlier_state.ejected_until > now
-        if (
-            upstream.busy
-            or recently_unanswered
-            or is_ejected
-            or upstream.outlier_state.responses >= 1
-        ):
-            unanswered_count = (
-                upstream.liveness.unanswered if recently_unanswered else 0
-            )
-            yield UpstreamUpdate(
-                upstream.cookie,
-                upstream.busy,
-                unanswered_count,
-                _optional_age(upstream.liveness.unanswered_since, now)
-                if unanswered_count
-                else -1,
-                _optional_age(upstream.liveness.last_alive_at, now),
-                round(upstream.outlier_state.responses),
-                round(upstream.outlier_state.short_responses),
-                max(
-                    int(
-                        (upstream.outlier_state.ejected_until - now)
-                        * _MILLISECONDS_PER_SECOND
-                    ),
-                    0,
-                ),
-            )
+    for upstream in active:
+        yield _describe_fully(upstream, now)
+
+
+def urgent_updates(steering: Steering, now: float) -> Iterator[UpstreamUpdate]:
+    """Yield the updates of the upstreams that failed last, the latest first.
+
+    They are those for which a periodic heartbeat would come too late.
+    """
+    failing = (
+        upstream
+        for upstream in steering.pool.by_name.values()
+        if _is_failing(upstream, now)
+    )
+    latest = heapq.nlargest(
+        MAX_URGENT_UPDATES,
+        failing,
+        key=lambda each: (
+            each.liveness.last_unanswered_at,
+            each.outlier_state.ejected_until,
+        ),
+    )
+    for upstream in latest:
+        yield _describe_fully(upstream, now)
 
 
 def updates_for_remote_domain(
@@ -82,6 +98,15 @@
     Of the upstreams of the remote domain, report the requests from this
     instance.
     """
+    updates = _list_remote_updates(steering, domain, now)
+    yield from heapq.nlargest(
+        MAX_UPDATES, updates, key=lambda each: (each.unanswered, each.busy)
+    )
+
+
+def _list_remote_updates(
+    steering: Steering, domain: str, now: float
+) -> Iterator[UpstreamUpdate]:
     for upstream in steering.pool.by_name.values():
         if upstream.entry.domain == domain and upstream.busy:
             yield UpstreamUpdate(upstream.cookie, upstream.busy, 0, -1, -1)
@@ -89,15 +114,51 @@
             yield from _local_upstream_updates(upstream, now)
 
 
-def _local_upstream_updates(
-    upstream: Upstream, now: float
-) -> Iterator[UpstreamUpdate]:
-    recently_unanswered = (
+def _is_failing(upstream: Upstream, now: float) -> bool:
+    return (
+        _is_recently_unanswered(upstream, now)
+        or upstream.outlier_state.ejected_until > now
+    )
+
+
+def _is_recently_unanswered(upstream: Upstream, now: float) -> bool:
+    return (
         now - upstream.liveness.last_unanswered_at < UNANSWERED_REPORT_SECONDS
     )
-    unanswered_count = (
-        upstream.liveness.unanswered if recently_unanswered else 0
+
+
+def _is_active(upstream: Upstream, now: float) -> bool:
+    decay_counts(upstream, now)
+    return (
+        upstream.busy > 0
+        or upstream.outlier_state.responses >= 1
+        or _is_failing(upstream, now)
+    )
+
+
+def _describe_fully(upstream: Upstream, now: float) -> UpstreamUpdate:
+    is_unanswered = _is_recently_unanswered(upstream, now)
+    unanswered_count = upstream.liveness.unanswered if is_unanswered else 0
+    ejected_seconds = max(upstream.outlier_state.ejected_until - now, 0)
+    return UpstreamUpdate(
+        upstream.cookie,
+        upstream.busy,
+        unanswered_count,
+        _optional_age(upstream.liveness.unanswered_since, now)
+        if unanswered_count
+        else -1,
+        _optional_age(upstream.liveness.last_alive_at, now),
+        round(upstream.outlier_state.responses),
+        round(upstream.outlier_state.short_responses),
+        int(ejected_seconds * _MILLISECONDS_PER_SECOND),
     )
+
+
+def _local_upstream_updates(
+    upstream: Upstream, now: float
+) -> Iterator[UpstreamUpdate]:
+    is_unanswered = _is_recently_unanswered(upstream, now)
+    unanswered_count = upstream.liveness.unanswered if is_unanswered else 0
     busy = count_busy(upstream, now)
     if unanswered_count or busy >= upstream.entry.slots:
         unanswered_age = (
--- a/marlbend/edge/wiring.py
+++ b/marlbend/edge/wiring.py
@@ -15,7 +15,7 @@
 from marlbend import VERSION
 from marlbend.clock import steady_seconds
 from marlbend.edge.decision_log import make_decision_logger
-from marlbend.edge.maintenance import log_control_traffic, run_maintenance
+from marlbend.edge.maintenance import run_maintenance
 from marlbend.edge.peers import (
     GossipNode,
     announce_departure,
@@ -28,6 +28,7 @@
 )
 from marlbend.edge.reload import (
     RunningInstance,
+    apply_budgets,
     staleness_limits,
     watch_settings,
 )
@@ -195,8 +196,7 @@
         yield watch_topic(watcher)
     yield send_heartbeats(node)
     yield watch_settings(instance)
-    yield run_maintenance(node.steering, node.gossip)
-    yield log_control_traffic(node.traffic)
+    yield run_maintenance(node)
 
 
 def _make_watchers(
@@ -287,6 +287,7 @@
         ),
         Random(),
     )
+    apply_budgets(steering, cookie_settings)
     receive = make_receiver(steering)
 
     def receive_datagram(datagram: bytes) -> None:
--- a/marlbend/options.py
+++ b/marlbend/options.py
@@ -27,6 +27,8 @@
 MAX_FLOWS: Final = 4_000_000
 DAY_SECONDS: Final = 86_400
 HOUR_MILLISECONDS: Final = 3_600_000
+MAX_LINK_MEGABITS: Final = 400_000
+MAX_CORES: Final = 1024
 
 Port = Annotated[int, msgspec.Meta(ge=1, le=MAX_PORT)]
 EndpointText = Annotated[str, msgspec.Meta(pattern=r'^\d+(\.\d+){3}:\d+$')]
@@ -35,6 +37,8 @@
 SettingsName = Annotated[
     str, msgspec.Meta(pattern='^[A-Za-z0-9][A-Za-z0-9._-]{0,126}$')
 ]
+Megabits = Annotated[float, msgspec.Meta(gt=0, le=MAX_LINK_MEGABITS)]
+ProcessorShare = Annotated[float, msgspec.Meta(gt=0, le=MAX_CORES)]
 Seconds = Annotated[float, msgspec.Meta(gt=0, le=DAY_SECONDS)]
 LogLevel = Annotated[str, msgspec.Meta(pattern='^(DEBUG|INFO|WARNING|ERROR)$')]
 
@@ -89,6 +93,10 @@
     take a failure domain out of service within `domain_out_milliseconds`.  The
     staleness limit of a topic is a share of that target: an instance whose
     copy of the topic is older reads the platform itself.
+
+    `link_megabits` is the bandwidth of the instance's own link in Mbit/s, and
+    `processor_share` its part of a core.  They limit what the instance spends
+    on reactions to trouble (`marlbend.steering.budgets`).
     """
 
     fabric: EndpointText
@@ -100,6 +108,8 @@
     stop_seconds: Seconds = 6
     apply_milliseconds: Milliseconds = 3000
     domain_out_milliseconds: Milliseconds = 5000
+    link_megabits: Megabits = 100
+    processor_share: ProcessorShare = 1
 
 
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/marlbend/steering/state.py
+++ b/marlbend/steering/state.py
@@ -7,6 +7,7 @@
 from typing import Final, final
 
 from marlbend.observe.latency import LatencyHistogram
+from marlbend.steering.budgets import make_budgets
 from marlbend.steering.packet import Packet
 from marlbend.steering.routes import RouteTable
 from marlbend.steering.upstreams import Upstream, UpstreamPool
@@ -32,6 +33,7 @@
 # The time from the detection of a partition to the first probe; later probes
 # follow after `NEXT_PARTITION_PROBE_DELAY_SECONDS` of `liveness`.
 FIRST_PARTITION_PROBE_DELAY_SECONDS: Final = 0.5
+DEFAULT_LINK_MEGABITS: Final = 100.0
 FALSE_SUSPICIONS_KEPT: Final = 8
 # Return time of a failure domain that is out until further notice.
 OUT_INDEFINITELY: Final = float('inf')
@@ -247,14 +249,23 @@
     `live_members` holds the name and domain of each live instance, including
     this one.  `false_suspicions` holds the times at which liveness evidence
     most recently contradicted this instance's suspicion of an upstream.
+    `budgets` limits its reactions to trouble; whoever knows its link and its
+    processor share replaces it.
     """
 
-    __slots__ = ('domain', 'false_suspicions', 'live_members', 'name')
+    __slots__ = (
+        'budgets',
+        'domain',
+        'false_suspicions',
+        'live_members',
+        'name',
+    )
 
     def __init__(self, name: str, domain: str) -> None:
         """Initialize as the only instance."""
         self.name = name
         self.domain = domain
+        self.budgets = make_budgets(DEFAULT_LINK_MEGABITS, 1)
         self.live_members: tuple[tuple[str, str], ...] = ((name, domain),)
         self.false_suspicions: deque[float] = deque(
             maxlen=FALSE_SUSPICIONS_KEPT
--- a/marlbend/steering/steer.py
+++ b/marlbend/steering/steer.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from typing import Final
 
+from marlbend.steering.budgets import spend
 from marlbend.steering.choice import choose_upstream
 from marlbend.steering.failure_detection import is_presumed_dead
 from marlbend.steering.flows import (
@@ -82,7 +83,10 @@
         _schedule_retry(steering, flow)
         return
     record_unanswered(steering, flow.upstream, flow.last_packet_at)
-    if len(flow.tried) < MAX_UPSTREAMS_TRIED:
+    # Beyond the budget the caller's next SYN tries another upstream.
+    if len(flow.tried) < MAX_UPSTREAMS_TRIED and spend(
+        steering.local_instance.budgets.reopenings, 1, now
+    ):
         _try_another_upstream(steering, flow)
 
 
