Treat requests of kind download as idempotent

The further deployments have routes of kind download, whose requests may be repeated. They were taken for requests that may run only once, so that their flows were not reset while their upstream was silent, and callers waited for their deadline.

--- a/marlbend/platform/objects.py
+++ b/marlbend/platform/objects.py
@@ -39,7 +39,8 @@
 
 _READY: Final = 'ready'
 _DRAINING: Final = 'draining'
-_SAFE: Final = 'safe'
+# The kinds of routes whose requests are idempotent.
+_REPEATABLE_KINDS: Final = frozenset(('safe', 'download'))
 # The name of an upstream ends with the number of its host in hexadecimal, such
 # as h-00000000002a.
 _UPSTREAM_NAME: Final = re.compile('(?:.*-)?([0-9a-fA-F]{1,16})')
@@ -96,7 +97,8 @@
     hostname: str
     # The port at which callers reach the service, between slashes.
     path_prefix: str
-    # Requests of kind `safe` may be repeated, those of kind `unsafe` may not.
+    # Requests of kind `safe` and `download` may be repeated, those of kind
+    # `unsafe` and `upload` may not.
     kind: str
     name: str = ''
     # The only backend; ignored if there are `backends`.
@@ -231,7 +233,7 @@
             name=route.name,
             endpoint=_encode_route_endpoint(route),
             weight_by_service=weights or ((route.service, 1),),
-            repeatable=route.kind == _SAFE,
+            repeatable=route.kind in _REPEATABLE_KINDS,
             target_seconds=route.target_latency_ms / _MILLISECONDS_PER_SECOND,
             priority=route.priority,
         )
