--- a/bench/platform.py
+++ b/bench/platform.py
@@ -10,6 +10,8 @@
     GET /calls                                count the requests so far
 
 The store keeps all objects in memory.  It can run as a process of its own.
+Each response has the header `Store-Era`, which rises when the store comes back
+from a copy.
 """
 
 import argparse
@@ -39,6 +41,7 @@
 # Longer than any client waits for a response.
 HANG_SECONDS: Final = 60.0
 
+ERA_HEADER: Final = 'Store-Era'
 _CREATED: Final = 201
 _MILLISECONDS_PER_SECOND: Final = 1000
 _JSON: Final = 'application/json'
@@ -48,6 +51,7 @@
     """Return a web application with an empty store."""
     application = web.Application(client_max_size=MAX_OBJECT_BYTES)
     application[STORE_KEY] = Store()
+    application.on_response_prepare.append(_add_era)
     kind = '/api/objects/{kind}'
     path = f'{kind}/{{name}}'
     application.router.add_get(kind, _list_objects)
@@ -106,19 +110,26 @@
     if store.faults.silent_watches:
         await asyncio.sleep(HANG_SECONDS)
 
+    def is_gone() -> bool:
+        is_compacted = after_revision < store.compacted_revision
+        return is_compacted or after_revision > store.revision
+
     def is_ready() -> bool:
-        must_fail = (
-            store.faults.down or after_revision < store.compacted_revision
-        )
+        must_fail = store.faults.down or is_gone() or store.era != era
         return must_fail or any(find_events(store, kind, after_revision))
 
+    era = store.era
+
     # Without a change, the response has no events.
     with suppress(TimeoutError):
         async with asyncio.timeout(wait_seconds), store.changed:
             await store.changed.wait_for(is_ready)
     if store.faults.down:
         raise web.HTTPServiceUnavailable
-    if after_revision < store.compacted_revision:
+    if store.era != era:
+        # A watch that waits while the store comes back from a copy is cut.
+        raise web.HTTPServiceUnavailable
+    if is_gone():
         raise web.HTTPGone
     events = [
         {'object': event.object, 'deleted': event.deleted}
@@ -193,6 +204,10 @@
     return web.Response(text=str(_get_store(request).request_count))
 
 
+async def _add_era(request: web.Request, response: web.StreamResponse) -> None:
+    response.headers[ERA_HEADER] = str(_get_store(request).era)
+
+
 async def _begin_request(request: web.Request) -> Store:
     """Count a request, apply the active faults to it, and return the store."""
     store = _get_store(request)
--- a/bench/store.py
+++ b/bench/store.py
@@ -10,9 +10,12 @@
     'Faults',
     'Meta',
     'Store',
+    'StoreCopy',
     'StoredObject',
+    'copy_store',
     'find_events',
     'put_object',
+    'restore_copy',
     'set_faults',
 )
 
@@ -72,11 +75,13 @@
     `previous_object_by_path` holds the versions before the current ones.
     `request_count` counts requests, a pending watch as one.  Watches from
     before `compacted_revision` fail, as after a compaction of the history.
+    `era` counts how often the store has come back from a copy.
     """
 
     __slots__ = (
         'changed',
         'compacted_revision',
+        'era',
         'faults',
         'history',
         'object_by_path',
@@ -91,12 +96,41 @@
         self.previous_object_by_path: dict[tuple[str, str], StoredObject] = {}
         self.history: list[Event] = []
         self.revision = 1
+        self.era = 1
         self.compacted_revision = 0
         self.faults = Faults()
         self.changed = asyncio.Condition()
         self.request_count = 0
 
 
+class StoreCopy(msgspec.Struct, frozen=True):
+    """Hold what a store had at the time of the copy."""
+
+    object_by_path: dict[tuple[str, str], StoredObject]
+    history: list[Event]
+    revision: int
+
+
+def copy_store(store: Store) -> StoreCopy:
+    """Return a copy to which the store can go back."""
+    return StoreCopy(
+        dict(store.object_by_path), list(store.history), store.revision
+    )
+
+
+async def restore_copy(store: Store, copy: StoreCopy) -> None:
+    """Go back to a copy: what was written since is lost, with its revisions.
+
+    This starts a new era.
+    """
+    store.object_by_path = dict(copy.object_by_path)
+    store.previous_object_by_path = {}
+    store.history = list(copy.history)
+    store.revision = copy.revision
+    store.era += 1
+    await _notify(store)
+
+
 async def put_object(
     store: Store,
     path: tuple[str, str],
--- a/marlbend/cli/fleet.py
+++ b/marlbend/cli/fleet.py
@@ -37,7 +37,9 @@
     '{name} ({domain}) {state}: configuration {configuration}, '
     '{routes} routes, {live} members{reads}'
 )
-_TOPIC_TEMPLATE: Final = '  {name} revision {revision}, {age_seconds:.1f} s old'
+_TOPIC_TEMPLATE: Final = (
+    '  {name} era {era} revision {revision}, {age_seconds:.1f} s old'
+)
 
 _Names = tuple[str, ...]
 
--- a/marlbend/edge/changes.py
+++ b/marlbend/edge/changes.py
@@ -32,6 +32,7 @@
     GossipState,
     Topic,
     is_applicable,
+    is_newer,
     update_revision,
 )
 from marlbend.steering.recent_changes import record_changes
@@ -120,7 +121,7 @@
 ) -> None:
     topic = Topic(changes.topic)
     known_revision = gossip.revision_by_topic[topic]
-    if changes.until > known_revision:
+    if is_newer(gossip, topic, changes.era, changes.until):
         gossip.transfers_by_topic[topic].unusable_changes += 1
         emit(
             Event.CHANGES_UNUSABLE,
--- a/marlbend/edge/maintenance.py
+++ b/marlbend/edge/maintenance.py
@@ -12,13 +12,15 @@
 from typing import Final
 
 from marlbend.clock import steady_seconds
-from marlbend.edge.peers import GossipNode
+from marlbend.edge.node import GossipNode
+from marlbend.edge.topics import apply_upstream_entries
 from marlbend.events import Event, emit
 from marlbend.observe.control_traffic import Cause, ControlTraffic
 from marlbend.steering import Steering
 from marlbend.steering.flows import expire_flows
 from marlbend.steering.gossip import Topic, list_live_members
 from marlbend.steering.upstreams import expire_upstreams
+from marlbend.steering.upstreams_restored import list_confirmed_entries
 
 __all__ = ('restore_domains', 'run_maintenance')
 
@@ -52,6 +54,7 @@
             for each in list_live_members(gossip, steering.now)
         )
         expire_flows(steering)
+        _register_held(steering)
         confirmed = (
             steering.platform_recovered_at,
             steering.upstreams_confirmed_at,
@@ -60,6 +63,14 @@
             emit(Event.UPSTREAM_ENDED, upstream=ended.name, reason='missing')
 
 
+def _register_held(steering: Steering) -> None:
+    """Register what a copy of the store brought back, and the store kept."""
+    held = list_confirmed_entries(
+        steering.pool, steering.upstreams_confirmed_at
+    )
+    apply_upstream_entries(steering, {entry.name: entry for entry in held})
+
+
 def _log_control_traffic(
     traffic: ControlTraffic, logged_bytes: dict[Cause, int]
 ) -> None:
--- /dev/null
+++ b/marlbend/edge/node.py
@@ -0,0 +1,56 @@
+"""Hold what exchanging heartbeats and topics with other instances needs."""
+
+import asyncio
+from collections.abc import Callable
+from typing import final
+
+from marlbend.observe.control_traffic import ControlTraffic
+from marlbend.steering.gossip import GossipState, Topic
+from marlbend.steering.state import Steering
+
+__all__ = ('Address', 'GossipNode')
+
+Address = tuple[str, int]
+
+
+@final
+class GossipNode:
+    """Hold the state of this instance and what exchanging heartbeats needs.
+
+    `seeds` holds the control endpoints of the configured seeds.  `send` sends a
+    datagram to an address.  `fetching` holds the topics that are being fetched,
+    and `tasks` the tasks that fetch them; those in `whole_needed` are fetched
+    whole, since changes did not apply.  `urgent_sent_at` is when urgent
+    heartbeats were last sent, in steady seconds.  `traffic` counts what was
+    sent.
+    """
+
+    __slots__ = (
+        'fetching',
+        'gossip',
+        'seeds',
+        'send',
+        'steering',
+        'tasks',
+        'traffic',
+        'urgent_sent_at',
+        'whole_needed',
+    )
+
+    def __init__(
+        self,
+        gossip: GossipState,
+        steering: Steering,
+        seeds: tuple[Address, ...],
+        send: Callable[[bytes, Address], None],
+    ) -> None:
+        """Start without fetches."""
+        self.gossip = gossip
+        self.steering = steering
+        self.seeds = seeds
+        self.send = send
+        self.urgent_sent_at: float = 0
+        self.fetching: set[Topic] = set()
+        self.whole_needed: set[Topic] = set()
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.traffic = ControlTraffic()
--- a/marlbend/edge/peers.py
+++ b/marlbend/edge/peers.py
@@ -1,39 +1,27 @@
-"""Exchange heartbeats with other instances, and fetch newer topics from them.
+"""Exchange heartbeats with other instances.
 
-A UDP socket on the control endpoint carries the heartbeats; the same port over
-TCP serves the contents of each topic over HTTP.
+A UDP socket on the control endpoint carries them.  The same port over TCP
+serves the contents of each topic over HTTP, see `marlbend.edge.fetching`.
 """
 
 import asyncio
 from collections.abc import Callable
-from typing import Final, final
+from typing import Final
 
 import msgspec
 
 from marlbend.clock import steady_seconds
 from marlbend.edge.changes import apply_peer_changes
-from marlbend.edge.topics import (
-    apply_topic,
-    decode_topic,
-    encode_topic,
-)
+from marlbend.edge.fetching import fetch_topic
+from marlbend.edge.node import Address, GossipNode
 from marlbend.edge.upstream_updates import (
     merge_upstream_updates,
     updates_for_local_domain,
     updates_for_remote_domain,
     urgent_updates,
 )
-from marlbend.errors import MarlbendError
-from marlbend.events import Event, emit
-from marlbend.http import (
-    ClientResponse,
-    Connection,
-    RequestHandler,
-    ServerResponse,
-)
 from marlbend.observe.control_traffic import (
     Cause,
-    ControlTraffic,
     record_deferred,
     record_sent,
 )
@@ -44,22 +32,16 @@
     spend_any,
 )
 from marlbend.steering.gossip import (
-    GossipState,
     Topic,
-    confirm_revision,
     make_heartbeat,
     merge_heartbeat,
-    update_revision,
 )
 from marlbend.steering.members import (
-    age_in_milliseconds,
     choose_targets,
     describe_member,
     remove_expired_members,
 )
-from marlbend.steering.recent_changes import list_since, record_changes
-from marlbend.steering.state import Steering
-from marlbend.wire.compression import compress, decompress
+from marlbend.steering.recent_changes import record_changes
 from marlbend.wire.heartbeats import (
     Heartbeat,
     TopicChanges,
@@ -71,7 +53,6 @@
     'GossipNode',
     'announce_departure',
     'make_announcer',
-    'make_topic_handlers',
     'receive_heartbeat',
     'send_gossip_round',
     'send_heartbeats',
@@ -79,86 +60,17 @@
     'stop_fetching',
 )
 
-Address = tuple[str, int]
 
 # Load changes with every request, which takes about 10 ms, so heartbeats are
 # frequent; four a second use less than 0.25% of a core.
 HEARTBEAT_SECONDS: Final = 0.25
 # With this probability per heartbeat, each seed is contacted about every 10 s.
 SEED_PROBABILITY: Final = 0.025
-FETCH_TIMEOUT_SECONDS: Final = 1.0
 # An urgent heartbeat goes to at most this many members of the local domain; in
 # a larger one, the others learn from the next heartbeats.
 URGENT_TARGETS: Final = 32
 # Updates within this time of an urgent heartbeat wait for the periodic one.
 URGENT_INTERVAL_SECONDS: Final = 0.03
-_MILLISECONDS_PER_SECOND: Final = 1000
-_OK: Final = 200
-_UNAVAILABLE: Final = 503
-_TOPIC_PATH: Final = '/beliefs/{topic}'
-_SINCE_PREFIX: Final = 'since='
-# Only an instance that sends this accepts compressed contents, and changes of
-# the configuration by route.
-_COMPRESSED: Final = 'compressed'
-
-
-class _TopicReply(msgspec.Struct, array_like=True, frozen=True):
-    """Carry the contents of a topic, or its changes since a revision.
-
-    `age` is the time since `revision` was known to be the latest, in
-    milliseconds.  `topic_contents` is empty if `changes` lead from the
-    requested revision to this one; otherwise `is_compressed` tells whether it
-    is compressed.
-    """
-
-    revision: int
-    age: int
-    topic_contents: bytes
-    changes: tuple[TopicChanges, ...] = ()
-    is_compressed: bool = False
-
-
-@final
-class GossipNode:
-    """Hold the state of this instance and what exchanging heartbeats needs.
-
-    `seeds` holds the control endpoints of the configured seeds.  `send` sends a
-    datagram to an address.  `fetching` holds the topics that are being fetched,
-    and `tasks` the tasks that fetch them; those in `whole_needed` are fetched
-    whole, since changes did not apply.  `urgent_sent_at` is when urgent
-    heartbeats were last sent, in steady seconds.  `traffic` counts what was
-    sent.
-    """
-
-    __slots__ = (
-        'fetching',
-        'gossip',
-        'seeds',
-        'send',
-        'steering',
-        'tasks',
-        'traffic',
-        'urgent_sent_at',
-        'whole_needed',
-    )
-
-    def __init__(
-        self,
-        gossip: GossipState,
-        steering: Steering,
-        seeds: tuple[Address, ...],
-        send: Callable[[bytes, Address], None],
-    ) -> None:
-        """Start without fetches."""
-        self.gossip = gossip
-        self.steering = steering
-        self.seeds = seeds
-        self.send = send
-        self.urgent_sent_at: float = 0
-        self.fetching: set[Topic] = set()
-        self.whole_needed: set[Topic] = set()
-        self.tasks: set[asyncio.Task[None]] = set()
-        self.traffic = ControlTraffic()
 
 
 async def send_heartbeats(node: GossipNode) -> None:
@@ -270,12 +182,15 @@
         node.steering, node.gossip, heartbeat.changes, sender_update.name
     ):
         send_gossip_round(node, Cause.CHANGE)
-    for topic in merge_heartbeat(node.gossip, heartbeat, now):
+    version = node.steering.routes.version
+    for topic in merge_heartbeat(node.gossip, heartbeat, now, version):
         if topic not in node.fetching and spend(
             node.steering.local_instance.budgets.fetches, 1, now
         ):
             node.fetching.add(topic)
-            task = asyncio.create_task(_fetch(node, topic, sender_address))
+            task = asyncio.create_task(
+                _fetch_and_pass_on(node, topic, sender_address)
+            )
             node.tasks.add(task)
             task.add_done_callback(node.tasks.discard)
     merge_upstream_updates(node.steering, sender_update, heartbeat, now)
@@ -309,145 +224,11 @@
     return announce
 
 
-def make_topic_handlers(node: GossipNode) -> dict[str, RequestHandler]:
-    """Return the HTTP handlers that serve topics to other instances by path."""
-
-    def make_topic_handler(topic: Topic) -> RequestHandler:
-        def respond(query: str) -> ServerResponse:
-            if not node.gossip.revision_by_topic[topic]:
-                return _UNAVAILABLE, 'text/plain', b''
-            reply = _make_topic_reply(node, topic, query)
-            body = msgspec.msgpack.encode(reply)
-            bucket = node.steering.local_instance.budgets.topics
-            if not spend_any(bucket, len(body), steady_seconds()):
-                # The other instance fetches it from the sender of a later
-                # heartbeat.
-                record_deferred(node.traffic, Cause.TOPIC, 1)
-                return _UNAVAILABLE, 'text/plain', b''
-            transfers = node.gossip.transfers_by_topic[topic]
-            transfers.served += 1
-            transfers.served_bytes += len(body)
-            record_sent(node.traffic, Cause.TOPIC, len(body))
-            return _OK, 'application/msgpack', body
-
-        return respond
-
-    return {
-        _TOPIC_PATH.format(topic=int(topic)): make_topic_handler(topic)
-        for topic in Topic
-    }
-
-
-def _make_topic_reply(
-    node: GossipNode, topic: Topic, query: str
-) -> _TopicReply:
-    """Return the changes since the revision in a query, or all contents."""
-    gossip = node.gossip
-    revision = gossip.revision_by_topic[topic]
-    age = age_in_milliseconds(
-        gossip.confirmed_at_by_topic[topic], steady_seconds()
-    )
-    since, _, encoding = query.partition('&')
-    accepts_compressed = encoding == _COMPRESSED
-    requested = since.removeprefix(_SINCE_PREFIX)
-    if requested.isdecimal() and (
-        accepts_compressed or topic is not Topic.CONFIGURATION
-    ):
-        changes = list_since(
-            gossip.recent_changes, topic, int(requested), revision
-        )
-        if changes:
-            return _TopicReply(revision, age, b'', changes)
-    body = encode_topic(node.steering, topic)
-    if accepts_compressed:
-        body = compress(body)
-    return _TopicReply(
-        revision,
-        age,
-        body,
-        is_compressed=accepts_compressed,
-    )
-
-
-async def _fetch(
+async def _fetch_and_pass_on(
     node: GossipNode, topic: Topic, sender_address: Address
 ) -> None:
-    connection = Connection(sender_address)
-    path = _TOPIC_PATH.format(topic=int(topic))
-    known_revision = node.gossip.revision_by_topic[topic]
-    since = '' if topic in node.whole_needed else str(known_revision)
-    target = f'{path}?{_SINCE_PREFIX}{since}&{_COMPRESSED}'
-    try:
-        _apply_response(
-            node,
-            topic,
-            await connection.request('GET', target, FETCH_TIMEOUT_SECONDS),
-            sender_address,
-        )
-    except (MarlbendError, msgspec.DecodeError) as error:
-        node.gossip.transfers_by_topic[topic].failed_fetches += 1
-        emit(
-            Event.UPDATE_FAILED,
-            peer=sender_address[0],
-            error=error,
-            kind=topic.name.lower(),
-        )
-    finally:
-        connection.close()
-        node.fetching.discard(topic)
-
-
-def _apply_response(
-    node: GossipNode,
-    topic: Topic,
-    response: ClientResponse,
-    sender_address: Address,
-) -> None:
-    if response.status != _OK:
-        return
-    reply = msgspec.msgpack.decode(response.body, type=_TopicReply)
-    _record_fetch(node.gossip, topic, response, reply, sender_address[0])
-    if reply.revision <= node.gossip.revision_by_topic[topic]:
-        return
-    now = steady_seconds()
-    if reply.changes:
-        apply_peer_changes(
-            node.steering, node.gossip, reply.changes, sender_address[0]
-        )
-    else:
-        body = reply.topic_contents
-        if reply.is_compressed:
-            body = decompress(body)
-        apply_topic(node.steering, topic, decode_topic(topic, body))
-        update_revision(node.gossip, topic, reply.revision)
-    if node.gossip.revision_by_topic[topic] == reply.revision:
-        confirmed_at = now - reply.age / _MILLISECONDS_PER_SECOND
-        confirm_revision(node.gossip, topic, reply.revision, confirmed_at)
-        node.whole_needed.discard(topic)
-    else:
-        node.whole_needed.add(topic)
-    send_gossip_round(node, Cause.CHANGE)
-
-
-def _record_fetch(
-    gossip: GossipState,
-    topic: Topic,
-    response: ClientResponse,
-    reply: _TopicReply,
-    peer: str,
-) -> None:
-    transfers = gossip.transfers_by_topic[topic]
-    transfers.fetches += 1
-    transfers.fetched_bytes += len(response.body)
-    emit(
-        Event.UPDATE_FETCHED,
-        kind=topic.name.lower(),
-        peer=peer,
-        size=len(response.body),
-        seconds=round(response.receive_seconds, 3),
-        revision=reply.revision,
-        in_changes=bool(reply.changes),
-    )
+    if await fetch_topic(node, topic, sender_address):
+        send_gossip_round(node, Cause.CHANGE)
 
 
 def _can_spend_on_changes(node: GossipNode) -> bool:
@@ -479,7 +260,11 @@
     now = steady_seconds()
     steering = node.steering
     heartbeat = make_heartbeat(
-        node.gossip, steering.random, now, in_full=in_full
+        node.gossip,
+        steering.random,
+        now,
+        version=steering.routes.version,
+        in_full=in_full,
     )
     if domain == node.gossip.myself.domain:
         upstreams = tuple(updates_for_local_domain(steering, now))
--- a/marlbend/edge/reload.py
+++ b/marlbend/edge/reload.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from marlbend.edge.peers import GossipNode
+from marlbend.edge.node import GossipNode
 from marlbend.edge.watch import TopicWatcher
 from marlbend.errors import MarlbendError
 from marlbend.events import Event, emit
--- a/marlbend/edge/status.py
+++ b/marlbend/edge/status.py
@@ -5,7 +5,7 @@
 
 from marlbend import VERSION
 from marlbend.clock import steady_seconds
-from marlbend.edge.peers import GossipNode
+from marlbend.edge.node import GossipNode
 from marlbend.http import ServerResponse
 from marlbend.observe.control_traffic import Cause
 from marlbend.observe.latency import LatencyHistogram
@@ -55,6 +55,7 @@
             topic.name.lower(): TopicStatus(
                 gossip.revision_by_topic[topic],
                 round(now - gossip.confirmed_at_by_topic[topic], 3),
+                gossip.era_by_topic[topic],
             )
             for topic in Topic
             if gossip.revision_by_topic[topic]
@@ -136,16 +137,21 @@
         labels = f'{{topic="{name}"}}'
         yield f'marlbend_topic_revision{labels} {topic.revision}'
         yield f'marlbend_topic_age_seconds{labels} {topic.age_seconds}'
+        yield f'marlbend_topic_era{labels} {topic.era}'
+    yield from _upstream_lines(status)
+    yield from _transfer_lines(node.gossip)
+    yield from _control_lines(status)
+    yield from _gauge_lines(status)
+    yield from _handshake_lines(handshake_latencies)
+
+
+def _upstream_lines(status: CookieStatus) -> Iterator[str]:
     for upstream in status.upstreams:
         labels = _UPSTREAM_LABELS.format(
             name=upstream.name, state=upstream.state
         )
         yield f'marlbend_upstream_flows{labels} {upstream.flows}'
         yield f'marlbend_upstream_busy{labels} {upstream.busy}'
-    yield from _transfer_lines(node.gossip)
-    yield from _control_lines(status)
-    yield from _gauge_lines(status)
-    yield from _handshake_lines(handshake_latencies)
 
 
 def _transfer_lines(gossip: GossipState) -> Iterator[str]:
--- a/marlbend/edge/topics.py
+++ b/marlbend/edge/topics.py
@@ -4,7 +4,13 @@
 the complete contents of a topic.
 """
 
-from collections.abc import Callable, Collection, Iterable, Mapping
+from collections.abc import (
+    Callable,
+    Collection,
+    Iterable,
+    Iterator,
+    Mapping,
+)
 from types import MappingProxyType
 from typing import Final
 
@@ -20,7 +26,7 @@
     decode_upstream,
 )
 from marlbend.steering.documents import Publication, UpstreamEntry
-from marlbend.steering.gossip import Topic
+from marlbend.steering.gossip import GossipState, Topic
 from marlbend.steering.routes import update_routes
 from marlbend.steering.state import OUT_INDEFINITELY, Steering
 from marlbend.steering.upstreams import (
@@ -29,6 +35,12 @@
     register_upstream,
     registered_names_except,
 )
+from marlbend.steering.upstreams_restored import (
+    is_held,
+    lose_registration,
+    release_absent,
+    restore_entry,
+)
 
 __all__ = (
     'NOT_DELETED',
@@ -40,6 +52,7 @@
     'apply_upstream_entries',
     'decode_topic',
     'encode_topic',
+    'log_return',
 )
 
 ApplyObject = Callable[[Steering, StoredObject, bool], None]
@@ -54,26 +67,37 @@
     }
 )
 NOT_DELETED: Final = False
+# A domain that was out, and that a copy of the store does not have, stays out
+# for this long unless the operator writes it again.  Requests in a domain that
+# is out do harm; one more domain out costs capacity.
+KEEP_OUT_SECONDS: Final = 30.0
 
 
 def apply_list(
     steering: Steering,
     topic: Topic,
     listed: Collection[StoredObject],
+    *,
+    is_restored: bool = False,
 ) -> None:
-    """Apply the complete list of a topic's objects from the platform."""
+    """Apply the complete list of a topic's objects from the platform.
+
+    `is_restored` is whether it comes from a copy that may lack what was known,
+    or have what was removed since.
+    """
     if topic is Topic.CONFIGURATION:
         apply_object_changes(
             steering, topic, ((each, NOT_DELETED) for each in listed)
         )
     elif topic is Topic.UPSTREAMS:
         entries = (decode_upstream(stored) for stored in listed)
-        _apply_all_upstreams(steering, [each for each in entries if each])
+        known_entries = [each for each in entries if each]
+        _apply_all_upstreams(steering, known_entries, is_restored=is_restored)
     else:
         names_out = (
             each.meta.name for each in listed if not each.meta.deleting
         )
-        _apply_all_domains(steering, set(names_out))
+        _apply_all_domains(steering, set(names_out), is_restored=is_restored)
 
 
 def apply_object_changes(
@@ -117,23 +141,34 @@
 def encode_topic(steering: Steering, topic: Topic) -> bytes:
     """Return the known contents of a topic, for another instance.
 
-    The domains out include those that have returned but still wait for a
-    confirmed list of upstreams; the receiver marks them as out indefinitely.
+    Of the upstreams that a copy of the store brought back, it has the entries,
+    so that each instance decides on them.
     """
     if topic is Topic.CONFIGURATION:
         return _ENCODER.encode(steering.routes.publication)
     if topic is Topic.DOMAINS_OUT:
-        return _ENCODER.encode(tuple(steering.domains_out))
+        return _ENCODER.encode(tuple(_list_domains_out(steering)))
     now = steady_seconds()
-    return _ENCODER.encode(
-        tuple(
-            msgspec.structs.replace(
-                upstream.entry, cold_seconds=max(upstream.cold_until - now, 0)
-            )
-            for upstream in steering.pool.by_name.values()
-            if not upstream.ended_at and not upstream.missing_since
+    registered = tuple(
+        msgspec.structs.replace(
+            upstream.entry, cold_seconds=max(upstream.cold_until - now, 0)
         )
+        for upstream in steering.pool.by_name.values()
+        if not upstream.ended_at and not upstream.missing_since
+    )
+    registered_names = {entry.name for entry in registered}
+    held = tuple(
+        each.entry
+        for each in steering.pool.held_by_name.values()
+        if each.entry.name not in registered_names
     )
+    return _ENCODER.encode(registered + held)
+
+
+def _list_domains_out(steering: Steering) -> Iterator[str]:
+    for domain, returned_at in steering.domains_out.items():
+        if returned_at == OUT_INDEFINITELY:
+            yield domain
 
 
 def decode_topic(topic: Topic, body: bytes) -> TopicContents:
@@ -143,18 +178,43 @@
 
 
 def apply_topic(
-    steering: Steering, topic: Topic, topic_contents: TopicContents
+    steering: Steering,
+    topic: Topic,
+    topic_contents: TopicContents,
+    *,
+    is_restored: bool = False,
 ) -> None:
-    """Apply the complete contents of a topic from another instance."""
+    """Apply the complete contents of a topic from another instance.
+
+    `is_restored` is as in `apply_list`.
+    """
     if isinstance(topic_contents, Publication):
         apply_publication(steering, topic_contents)
     elif topic is Topic.UPSTREAMS:
         entries = [
             each for each in topic_contents if isinstance(each, UpstreamEntry)
         ]
-        _apply_all_upstreams(steering, entries)
+        _apply_all_upstreams(steering, entries, is_restored=is_restored)
     else:
-        _apply_all_domains(steering, {str(each) for each in topic_contents})
+        names = {str(each) for each in topic_contents}
+        _apply_all_domains(steering, names, is_restored=is_restored)
+
+
+def log_return(
+    gossip: GossipState, topic: Topic, era: int, revision: int
+) -> None:
+    """Log that the store came back from a copy, unless this is its first era.
+
+    Call it before the new era is recorded.
+    """
+    if gossip.era_by_topic[topic]:
+        emit(
+            Event.STORE_RETURNED,
+            era=era,
+            kind=topic.name.lower(),
+            revision=revision,
+            known=gossip.revision_by_topic[topic],
+        )
 
 
 def _apply_configuration(
@@ -175,12 +235,22 @@
 def _apply_all_upstreams(
     steering: Steering,
     entries: list[UpstreamEntry],
+    *,
+    is_restored: bool,
 ) -> None:
+    now = steady_seconds()
+    pool = steering.pool
     for entry in entries:
-        _register(steering, entry)
+        current = restore_entry(pool, entry, now) if is_restored else entry
+        if current is not None and not is_held(pool, current):
+            _register(steering, current)
     present = (each.name for each in entries)
-    for name in registered_names_except(steering.pool, present):
-        _unregister(steering, name)
+    for name in registered_names_except(pool, present):
+        if is_restored:
+            lose_registration(pool, name, now)
+        else:
+            _unregister(steering, name)
+    release_absent(pool, {each.name for each in entries})
     steering.upstreams_known = True
 
 
@@ -213,8 +283,9 @@
     A registration can expire during a platform outage, even one that this
     instance has not noticed, so another upstream does not end at once.
     """
+    steering.pool.held_by_name.pop(name, None)
     upstream = steering.pool.by_name.get(name)
-    if upstream is None or upstream.ended_at:
+    if upstream is None or upstream.ended_at or name in steering.pool.lost:
         return
     now = steady_seconds()
     if upstream.entry.accepting:
@@ -233,7 +304,13 @@
     _set_domain_out(steering, stored.meta.name, out=out)
 
 
-def _apply_all_domains(steering: Steering, names: set[str]) -> None:
+def _apply_all_domains(
+    steering: Steering, names: set[str], *, is_restored: bool
+) -> None:
+    if is_restored:
+        for missing in set(_list_domains_out(steering)) - names:
+            until = steady_seconds() + KEEP_OUT_SECONDS
+            steering.domains_out[missing] = until
     all_names = names.union(steering.domains_out)
     apply_domain_states(steering, {name: name in names for name in all_names})
 
--- a/marlbend/edge/watch.py
+++ b/marlbend/edge/watch.py
@@ -5,7 +5,8 @@
 are retried after an exponential delay with jitter, and the topic is listed
 again if the store no longer has the history to watch from.  Also designed for
 links that cannot carry every version of a large object: then only the latest
-one is read.
+one is read.  And for a store that comes back from a copy: the first response of
+a new era makes the reader list the topic, and one of a former era is an error.
 """
 
 import asyncio
@@ -21,12 +22,13 @@
 from marlbend.edge.topics import (
     apply_list,
     apply_object_changes,
+    log_return,
 )
 from marlbend.errorcodes import ErrorKind
 from marlbend.errors import MarlbendError
 from marlbend.events import Event, emit
 from marlbend.http import ClientResponse, Connection
-from marlbend.platform.client import expect_status
+from marlbend.platform.client import expect_status, read_era
 from marlbend.platform.objects import (
     ObjectChange,
     StoredObject,
@@ -34,13 +36,20 @@
     decode_page,
 )
 from marlbend.platform.paths import list_path, watch_path
+from marlbend.steering.budgets import (
+    TokenBucket,
+    seconds_until_available,
+    spend_any,
+)
 from marlbend.steering.documents import Publication
 from marlbend.steering.gossip import (
     GossipState,
     Topic,
     confirm_revision,
+    enter_era,
     record_recovery,
     should_read_platform,
+    update_revision,
 )
 from marlbend.steering.state import Steering
 from marlbend.steering.upstreams import has_missing
@@ -49,6 +58,8 @@
 __all__ = ('TopicWatcher', 'watch_topic')
 
 _Decoded = TypeVar('_Decoded')
+# The objects of a topic, the store revision and the era.
+_Pages = tuple[list[StoredObject], int, int]
 
 # A watch takes up to this share of the staleness limit, above which the other
 # instances read the platform directly.  The rest is left for the response and
@@ -65,6 +76,11 @@
 # The delay after a failed call doubles from the first value up to the second.
 INITIAL_RETRY_SECONDS: Final = 0.1
 MAX_RETRY_SECONDS: Final = 1.0
+# Calls for one topic: more than a storm of changes makes, and less than a loop
+# without a pause.  If 300 instances read all topics at once, they make 3,600 of
+# the 6,000 calls that the platform allows them in a second.
+CALLS_PER_SECOND: Final = 4.0
+CALLS_AT_ONCE: Final = 8.0
 # An instance that does not read checks this often whether it has to.
 READER_CHECK_SECONDS: Final = 0.1
 
@@ -84,12 +100,15 @@
     list would have been shorter.  `platform_lost` is set while calls fail, and
     `retry_delay` is the delay after the last failure, in seconds.  `announce`
     is called with the changes that the platform reported, or with no changes
-    after a list or when calls begin to fail.
+    after a list or when calls begin to fail.  `era` is the era of the store
+    that `watch_from_revision` belongs to.  `calls` limits the calls.
     """
 
     __slots__ = (
         'announce',
+        'calls',
         'connection',
+        'era',
         'gossip',
         'list_needed',
         'platform_lost',
@@ -116,6 +135,8 @@
         self.announce = announce
         self.random: Random = steering.random
         self.watch_from_revision = 0
+        self.era = 0
+        self.calls = TokenBucket(CALLS_PER_SECOND, CALLS_AT_ONCE)
         self.list_needed = False
         self.platform_lost = False
         self.retry_delay: float = 0
@@ -129,6 +150,9 @@
         ):
             await asyncio.sleep(READER_CHECK_SECONDS)
             continue
+        await asyncio.sleep(
+            seconds_until_available(watcher.calls, steady_seconds())
+        )
         try:
             await _read_once(watcher)
         except MarlbendError as error:
@@ -140,7 +164,11 @@
 
 async def _read_once(watcher: TopicWatcher) -> None:
     known_revision = watcher.gossip.revision_by_topic[watcher.topic]
+    known_era = watcher.gossip.era_by_topic[watcher.topic]
     # Another instance may have reported a later revision than was read here.
+    if watcher.era < known_era:
+        watcher.era = known_era
+        watcher.watch_from_revision = known_revision
     watcher.watch_from_revision = max(
         watcher.watch_from_revision, known_revision
     )
@@ -179,32 +207,58 @@
 
 async def _list_all(watcher: TopicWatcher) -> bool:
     """Read all objects; return whether any had changed."""
-    listed, revision = await _read_pages(watcher)
+    # The store makes the first page after this.
+    requested_at = steady_seconds()
+    pages = await _read_pages(watcher)
+    if pages is None:
+        return False
+    listed, revision, era = pages
     known_revision = watcher.gossip.revision_by_topic[watcher.topic]
-    changed = sum(each.meta.rev > known_revision for each in listed)
+    has_changed = [each.meta.rev > known_revision for each in listed]
     # While everything changes, the next watch would be longer as well.
-    has_all_changed = bool(changed) and changed == len(listed)
-    watcher.list_needed = watcher.list_needed and has_all_changed
-    if revision >= known_revision:
-        previous = watcher.steering.routes.publication
-        apply_list(watcher.steering, watcher.topic, listed)
+    watcher.list_needed &= bool(listed) and all(has_changed)
+    is_new_era = era > watcher.gossip.era_by_topic[watcher.topic]
+    if is_new_era or revision >= known_revision:
+        changes = _apply_pages(watcher, pages)
+        watcher.era = era
         watcher.watch_from_revision = revision
-        _record_read(watcher, revision)
-        if revision > known_revision:
-            watcher.announce(
-                _describe_list(watcher, known_revision, revision, previous)
-            )
-    return changed > 0
+        _record_read(watcher, revision, requested_at)
+        if is_new_era or revision > known_revision:
+            watcher.announce(changes)
+    return any(has_changed)
+
 
+def _apply_pages(watcher: TopicWatcher, pages: _Pages) -> TopicChanges:
+    """Apply a complete list; return what to announce.
 
-async def _read_pages(watcher: TopicWatcher) -> tuple[list[StoredObject], int]:
-    """Return the objects of a topic and the revision to watch from.
+    The other instances fetch the first list of an era, since no change leads
+    from one era to the next.
+    """
+    listed, revision, era = pages
+    gossip = watcher.gossip
+    topic = watcher.topic
+    known_revision = gossip.revision_by_topic[topic]
+    previous = watcher.steering.routes.publication
+    if era == gossip.era_by_topic[topic]:
+        apply_list(watcher.steering, topic, listed)
+        return _describe_list(watcher, known_revision, revision, previous)
+    is_restored = known_revision > 0
+    apply_list(watcher.steering, topic, listed, is_restored=is_restored)
+    log_return(gossip, topic, era, revision)
+    enter_era(gossip, topic, era)
+    update_revision(gossip, topic, revision)
+    return _no_changes(watcher, revision)
+
+
+async def _read_pages(watcher: TopicWatcher) -> _Pages | None:
+    """Return the objects of a topic, the revision to watch from, and its era.
 
     That is the revision of the first page, so that the next watch returns the
-    changes since then.
+    changes since then.  Return `None` if the pages are of different eras.
     """
     listed: list[StoredObject] = []
     revision = 0
+    era = 0
     after = ''
     has_more = True
     while has_more:
@@ -212,12 +266,15 @@
         response = await _call(watcher, path, LIST_TIMEOUT_SECONDS)
         page, page_revision, has_more = _decode(response, decode_page)
         _log_read(watcher, response, len(page), 0)
+        if after and read_era(response) != era:
+            return None
+        era = read_era(response)
         listed.extend(page)
         revision = revision or page_revision
         # Without a readable object there is no name to continue from.
-        has_more = has_more and bool(page)
+        has_more = has_more and bool(page) and page[-1].meta.name != after
         after = page[-1].meta.name if page else ''
-    return listed, revision
+    return listed, revision, era
 
 
 async def _watch_changes(watcher: TopicWatcher) -> bool:
@@ -228,29 +285,43 @@
     if watcher.topic is Topic.UPSTREAMS and has_missing(watcher.steering.pool):
         # Only a response confirms that a registration is still missing.
         wait_seconds = min(wait_seconds, MISSING_CHECK_SECONDS)
-    since = watcher.watch_from_revision
-    path = watch_path(watcher.topic, since, wait_seconds)
+    path = watch_path(watcher.topic, watcher.watch_from_revision, wait_seconds)
+    requested_at = steady_seconds()
     response = await _call(watcher, path, wait_seconds + WATCH_GRACE_SECONDS)
-    if response.status == _GONE:
+    if response.status == _GONE or read_era(response) > watcher.era:
         watcher.list_needed = True
         return False
+    # The store responds by the end of the wait.  A later receipt means that
+    # the response, or this process, was held up.
+    received_at = steady_seconds() - response.receive_seconds
+    confirmed_at = min(received_at, requested_at + wait_seconds)
+    return _apply_response(watcher, response, confirmed_at)
+
+
+def _apply_response(
+    watcher: TopicWatcher, response: ClientResponse, confirmed_at: float
+) -> bool:
+    """Apply the response to a watch; return whether it had changes."""
     changes, revision = _decode(response, decode_changes)
     _log_read(watcher, response, len(changes), _count_superseded(changes))
     known_revision = watcher.gossip.revision_by_topic[watcher.topic]
-    watcher.watch_from_revision = max(watcher.watch_from_revision, revision)
+    watched_from = watcher.watch_from_revision
+    watcher.watch_from_revision = max(watched_from, revision)
     watcher.list_needed = len(changes) > _count_objects(watcher)
     if changes and revision > known_revision:
         previous = watcher.steering.routes.publication
         apply_object_changes(watcher.steering, watcher.topic, changes)
-        _record_read(watcher, revision)
+        _record_read(watcher, revision, confirmed_at)
         # No change of this topic lies between the known revision and a later
         # one from which the watch started.
-        since = min(since, known_revision)
+        since = min(watched_from, known_revision)
         body = _encode_body(watcher, previous, changes)
-        watcher.announce(TopicChanges(watcher.topic, since, revision, body))
+        watcher.announce(
+            TopicChanges(watcher.topic, since, revision, body, watcher.era)
+        )
     else:
         # A revision from another instance is as recent as this response.
-        _record_read(watcher, known_revision)
+        _record_read(watcher, known_revision, confirmed_at)
     return bool(changes)
 
 
@@ -283,9 +354,11 @@
         )
 
 
-def _record_read(watcher: TopicWatcher, revision: int) -> None:
+def _record_read(
+    watcher: TopicWatcher, revision: int, confirmed_at: float
+) -> None:
     gossip = watcher.gossip
-    confirm_revision(gossip, watcher.topic, revision, steady_seconds())
+    confirm_revision(gossip, watcher.topic, revision, confirmed_at)
     gossip.myself.can_read = True
     if watcher.platform_lost:
         record_recovery(gossip, watcher.topic, steady_seconds())
@@ -302,14 +375,15 @@
 ) -> TopicChanges:
     """Return what a list changed, or no changes if only the list tells."""
     if watcher.topic is not Topic.CONFIGURATION or not known_revision:
-        return _no_changes(watcher.topic, revision)
+        return _no_changes(watcher, revision)
     body = _encode_body(watcher, previous, ())
-    return TopicChanges(watcher.topic, known_revision, revision, body)
+    era = watcher.gossip.era_by_topic[watcher.topic]
+    return TopicChanges(watcher.topic, known_revision, revision, body, era)
 
 
-def _no_changes(topic: Topic, revision: int) -> TopicChanges:
+def _no_changes(watcher: TopicWatcher, revision: int) -> TopicChanges:
     """Return changes that lead nowhere, for heartbeats without any."""
-    return TopicChanges(topic, revision, revision, b'')
+    return TopicChanges(watcher.topic, revision, revision, b'')
 
 
 def _encode_body(
@@ -327,8 +401,19 @@
 async def _call(
     watcher: TopicWatcher, path: str, timeout: float
 ) -> ClientResponse:
+    spend_any(watcher.calls, 1, steady_seconds())
     response = await watcher.connection.request('GET', path, timeout)
-    return expect_status(response, path, _OK, _GONE)
+    expect_status(response, path, _OK, _GONE)
+    era = read_era(response)
+    known_era = watcher.gossip.era_by_topic[watcher.topic]
+    if era < known_era:
+        raise MarlbendError(
+            ErrorKind.PLATFORM_UNREACHABLE,
+            error_messages.FORMER_ERA.format(
+                path=path, era=era, known=known_era
+            ),
+        )
+    return response
 
 
 def _decode(
@@ -354,6 +439,6 @@
         watcher.gossip.myself.can_read = False
         # Heartbeats sent now make another instance the reader sooner.
         revision = watcher.gossip.revision_by_topic[watcher.topic]
-        watcher.announce(_no_changes(watcher.topic, revision))
+        watcher.announce(_no_changes(watcher, revision))
     next_delay = max(watcher.retry_delay * 2, INITIAL_RETRY_SECONDS)
     watcher.retry_delay = min(next_delay, MAX_RETRY_SECONDS)
--- a/marlbend/edge/wiring.py
+++ b/marlbend/edge/wiring.py
@@ -15,12 +15,12 @@
 from marlbend import VERSION
 from marlbend.clock import steady_seconds
 from marlbend.edge.decision_log import make_decision_logger
+from marlbend.edge.fetching import make_topic_handlers
 from marlbend.edge.maintenance import run_maintenance
 from marlbend.edge.peers import (
     GossipNode,
     announce_departure,
     make_announcer,
-    make_topic_handlers,
     receive_heartbeat,
     send_heartbeats,
     send_urgent_heartbeats,
@@ -58,6 +58,7 @@
     Outcome,
     Packet,
     Steering,
+    Upstream,
 )
 from marlbend.steering.gossip import (
     GossipState,
@@ -65,7 +66,6 @@
 )
 from marlbend.steering.members import Member
 from marlbend.steering.steer import make_receiver, retry_unanswered_syn
-from marlbend.steering.upstreams import Upstream
 from marlbend.wire import STATUS_PATH
 from marlbend.wire.heartbeats import MemberUpdate
 
@@ -223,7 +223,12 @@
     now = steady_seconds()
     myself = Member(
         MemberUpdate(
-            settings.name, endpoint, settings.domain, 0, can_read=True
+            settings.name,
+            endpoint,
+            settings.domain,
+            0,
+            can_read=True,
+            knows_eras=True,
         ),
         now,
     )
--- a/marlbend/error_messages.py
+++ b/marlbend/error_messages.py
@@ -25,6 +25,9 @@
 UNEXPECTED_STATUS: Final = (
     'unexpected status {status} from the platform at {url}'
 )
+FORMER_ERA: Final = (
+    'response to {path} is of era {era} of the store, but era {known} is known'
+)
 PUBLISH_CONFLICT: Final = (
     'another publication came first: expected version {expected}, found {found}'
 )
--- a/marlbend/events.py
+++ b/marlbend/events.py
@@ -87,6 +87,12 @@
         logging.WARNING,
         'upstream {upstream} ejected for {seconds} s: too many short responses',
     )
+    STORE_RETURNED = (
+        306,
+        logging.WARNING,
+        'the store came back from a copy: era {era}, {kind} at revision '
+        '{revision}, before {known}',
+    )
     CONTROL_SENT = (
         307,
         logging.INFO,
--- a/marlbend/http/client.py
+++ b/marlbend/http/client.py
@@ -31,24 +31,30 @@
 class ClientResponse(msgspec.Struct, frozen=True):
     """Hold the status and body of a response.
 
-    `receive_seconds` is the time from its first to its last byte.
+    `receive_seconds` is the time from its first to its last byte.  `headers`
+    maps names in lower case to values.
     """
 
     status: int
     body: bytes
     receive_seconds: float = 0
+    headers: dict[str, str] = {}
 
 
 @final
 class _ResponseCollector:
-    """Collect the body of one response from the parser's callbacks."""
+    """Collect the headers and body of one response from parser callbacks."""
 
-    __slots__ = ('body', 'is_complete')
+    __slots__ = ('body', 'headers', 'is_complete')
 
     def __init__(self) -> None:
         self.body = bytearray()
+        self.headers: dict[str, str] = {}
         self.is_complete = False
 
+    def on_header(self, name: bytes, header: bytes) -> None:
+        self.headers[name.decode('latin-1').lower()] = header.decode('latin-1')
+
     def on_body(self, body: bytes) -> None:
         self.body.extend(body)
 
@@ -147,6 +153,7 @@
             parser.get_status_code(),
             bytes(collector.body),
             steady_seconds() - started_at,
+            collector.headers,
         )
 
     async def _connect(self) -> _Stream:
--- a/marlbend/platform/client.py
+++ b/marlbend/platform/client.py
@@ -29,6 +29,7 @@
     'WriteResult',
     'expect_status',
     'parse_url',
+    'read_era',
 )
 
 REQUEST_TIMEOUT_SECONDS: Final = 3.0
@@ -42,6 +43,7 @@
 _GONE: Final = 410
 _SERVER_ERROR: Final = 500
 _MILLISECONDS_PER_SECOND: Final = 1000
+_ERA_HEADER: Final = 'store-era'
 _PLATFORM_URL: Final = re.compile(r'http://([^:/]+):(\d+)')
 
 
@@ -186,6 +188,16 @@
             connection.close()
 
 
+def read_era(response: ClientResponse) -> int:
+    """Return the era of the store that sent a response, zero without one.
+
+    The era rises by one each time the store comes back from a copy that lacks
+    its latest changes.  Revisions of one era say nothing about another.
+    """
+    text = response.headers.get(_ERA_HEADER, '')
+    return int(text) if text.isascii() and text.isdecimal() else 0
+
+
 def expect_status(
     response: ClientResponse, url: str, *statuses: int
 ) -> ClientResponse:
--- a/marlbend/steering/gossip.py
+++ b/marlbend/steering/gossip.py
@@ -9,11 +9,17 @@
 the staleness limit reads the platform directly, so nothing depends on the
 reader, or on the instances agreeing on it.
 
+The store may come back from a copy that lacks its latest changes; its
+revisions then go back, and count as those of a new era.  What is known of a
+topic is ordered by era first, then by revision.  Instances of former releases
+know no eras; what they report counts as of era zero.
+
 Designed for a platform whose rate limits grow more slowly than the number of
 instances.
 """
 
 import enum
+import os
 from collections.abc import Iterator
 from random import Random
 from typing import Final, final
@@ -30,7 +36,12 @@
     remove_member,
     sample_live_members,
 )
-from marlbend.steering.recent_changes import RecentChanges, list_fresh_changes
+from marlbend.steering.reader_clocks import ReaderClocks, convert_time
+from marlbend.steering.recent_changes import (
+    RecentChanges,
+    forget_changes,
+    list_fresh_changes,
+)
 from marlbend.wire.heartbeats import (
     Heartbeat,
     MemberLastSeen,
@@ -39,10 +50,13 @@
 )
 
 __all__ = (
+    'Confirmation',
     'GossipState',
     'Topic',
     'confirm_revision',
+    'enter_era',
     'is_applicable',
+    'is_newer',
     'is_reader',
     'list_live_members',
     'make_heartbeat',
@@ -59,6 +73,7 @@
 MEMBERS_DESCRIBED: Final = 2
 # Detecting a dead reader takes seconds, so this delay adds little to it.
 RANK_CHECK_SECONDS: Final = 0.25
+_CLOCK_BYTES: Final = 4
 _MILLISECONDS_PER_SECOND: Final = 1000
 
 
@@ -72,12 +87,31 @@
     DOMAINS_OUT = 2
 
 
+@final
+class Confirmation:
+    """Hold when the platform confirmed a revision, on its reader's clock.
+
+    `clock` identifies the clock, zero if it is unknown, and `moment` is in
+    seconds.
+    """
+
+    __slots__ = ('clock', 'moment')
+
+    def __init__(self, clock: int, moment: float) -> None:
+        """Set both."""
+        self.clock = clock
+        self.moment = moment
+
+
 @final
 class GossipState:
     """Hold the topic revisions, the members and the recent changes.
 
-    `revision_by_topic` is zero before the first list.  `confirmed_at_by_topic`
-    is when that revision was last known to be the latest, and
+    `revision_by_topic` is zero before the first list, and belongs to the era in
+    `era_by_topic`.  `confirmed_at_by_topic` is when that revision was last
+    known to be the latest, and `confirmation_by_topic` the same on the clock of
+    the instance that read it from the platform.  `clock` identifies the clock
+    of this instance, and `reader_clocks` those of others.
     `recovered_at_by_topic` when the platform answered for the first time after
     a failed call, both in steady seconds.  Above the age in
     `staleness_limit_by_topic`, in seconds, the instance reads the platform
@@ -86,11 +120,15 @@
     """
 
     __slots__ = (
+        'clock',
+        'confirmation_by_topic',
         'confirmed_at_by_topic',
+        'era_by_topic',
         'is_first',
         'members',
         'myself',
         'rank_checked_at',
+        'reader_clocks',
         'recent_changes',
         'recovered_at_by_topic',
         'revision_by_topic',
@@ -109,7 +147,11 @@
         self.members = Members(myself)
         self.is_first = False
         self.rank_checked_at = float('-inf')
+        self.clock = int.from_bytes(os.urandom(_CLOCK_BYTES)) or 1
+        self.reader_clocks = ReaderClocks()
+        self.era_by_topic = dict.fromkeys(Topic, 0)
         self.revision_by_topic = dict.fromkeys(Topic, 0)
+        self.confirmation_by_topic: dict[Topic, Confirmation] = {}
         self.confirmed_at_by_topic = dict.fromkeys(Topic, float('-inf'))
         self.recent_changes = RecentChanges()
         self.recovered_at_by_topic = dict.fromkeys(Topic, float('-inf'))
@@ -121,11 +163,36 @@
     topic: Topic,
     revision: int,
     confirmed_at: float,
+    confirmation: Confirmation | None = None,
 ) -> None:
-    """Record that a revision was the latest at a time, now or earlier."""
+    """Record that a revision was the latest at a time, now or earlier.
+
+    Without a `confirmation`, this instance read it from the platform.
+    """
     gossip.revision_by_topic[topic] = revision
-    previous = gossip.confirmed_at_by_topic[topic]
-    gossip.confirmed_at_by_topic[topic] = max(previous, confirmed_at)
+    if confirmed_at > gossip.confirmed_at_by_topic[topic]:
+        gossip.confirmed_at_by_topic[topic] = confirmed_at
+        gossip.confirmation_by_topic[topic] = confirmation or Confirmation(
+            gossip.clock, confirmed_at
+        )
+
+
+def enter_era(gossip: GossipState, topic: Topic, era: int) -> None:
+    """Forget the revision of a former era, and the changes up to it.
+
+    The time of confirmation stays: what is known was the latest then.
+    """
+    gossip.era_by_topic[topic] = era
+    gossip.revision_by_topic[topic] = 0
+    forget_changes(gossip.recent_changes, topic)
+
+
+def is_newer(
+    gossip: GossipState, topic: Topic, era: int, revision: int
+) -> bool:
+    """Return whether a revision is later than the known one."""
+    known = (gossip.era_by_topic[topic], gossip.revision_by_topic[topic])
+    return (era, revision) > known
 
 
 def update_revision(gossip: GossipState, topic: Topic, revision: int) -> None:
@@ -150,22 +217,27 @@
     Without a revision there is no time of its confirmation, which changes do
     not provide.
     """
-    known = gossip.revision_by_topic[Topic(changes.topic)]
-    return known > 0 and changes.since <= known < changes.until
+    topic = Topic(changes.topic)
+    known = gossip.revision_by_topic[topic]
+    is_same_era = changes.era == gossip.era_by_topic[topic]
+    return is_same_era and 0 < known and changes.since <= known < changes.until
 
 
 def is_reader(gossip: GossipState, now: float) -> bool:
     """Return whether this instance is the elected reader of the platform.
 
     It is the first by rank of the live instances whose reads succeed.  The
-    rank is cached briefly; two readers at the same time do no harm.
+    rank is cached briefly; two readers at the same time do no harm.  Once the
+    store has an era, an instance that knows none is no reader for the others.
     """
     if not gossip.myself.can_read:
         return False
     if now - gossip.rank_checked_at > RANK_CHECK_SECONDS:
         gossip.rank_checked_at = now
+        has_era = any(gossip.era_by_topic.values())
         gossip.is_first = not any(
             member.can_read
+            and (member.knows_eras or not has_era)
             and member.rank < gossip.myself.rank
             and now - member.last_seen_at < MEMBER_TIMEOUT_SECONDS
             for member in gossip.members.by_name.values()
@@ -194,12 +266,14 @@
     random: Random,
     now: float,
     *,
+    version: int = 0,
     in_full: bool = False,
 ) -> Heartbeat:
     """Return a heartbeat with members, topic revisions and recent changes.
 
     With `in_full`, for an instance that has just started, it describes in full
-    the members that it would otherwise report by rank only.
+    the members that it would otherwise report by rank only.  `version` is the
+    version of the configuration in force.
     """
     others = sample_live_members(gossip.members, random, now)
     described_count = MEMBERS_REPORTED if in_full else MEMBERS_DESCRIBED
@@ -207,7 +281,7 @@
     described = (gossip.myself, *others[:described_count])
     return Heartbeat(
         tuple(describe_member(member, now) for member in described),
-        tuple(_list_topic_revisions(gossip, now)),
+        tuple(_list_topic_revisions(gossip, version, now)),
         changes=tuple(list_fresh_changes(gossip.recent_changes, now)),
         last_seen=tuple(
             MemberLastSeen(
@@ -224,8 +298,13 @@
     gossip: GossipState,
     heartbeat: Heartbeat,
     now: float,
+    version: int = 0,
 ) -> list[Topic]:
-    """Merge a heartbeat; return the topics whose revision is newer there."""
+    """Merge a heartbeat; return the topics whose revision is newer there.
+
+    At the same revision, the configuration counts as newer if its version is
+    higher than `version`: the store lost it, and the sender did not.
+    """
     for update in heartbeat.members:
         merge_member(gossip.members, update, now)
     for seen in heartbeat.last_seen:
@@ -234,41 +313,90 @@
             merge_last_seen(known, seen, now)
     if heartbeat.leaving:
         remove_member(gossip.members, heartbeat.members[0].name)
-    return list(_merge_topics(gossip, heartbeat, now))
+    return [
+        Topic(reported.topic)
+        for reported in heartbeat.topics
+        if _merge_topic(gossip, reported, version, now)
+    ]
 
 
-def _merge_topics(
+def _merge_topic(
     gossip: GossipState,
-    heartbeat: Heartbeat,
+    reported: TopicRevision,
+    version: int,
     now: float,
-) -> Iterator[Topic]:
-    for reported in heartbeat.topics:
-        topic = Topic(reported.topic)
-        known = gossip.revision_by_topic[topic]
-        if reported.recovery_age >= 0:
-            record_recovery(
-                gossip,
-                topic,
-                now - reported.recovery_age / _MILLISECONDS_PER_SECOND,
-            )
-        if reported.revision > known:
-            yield topic
-        elif reported.revision == known and known:
-            confirmed_at = now - reported.age / _MILLISECONDS_PER_SECOND
-            confirm_revision(gossip, topic, known, confirmed_at)
+) -> bool:
+    """Merge what is reported of a topic; return whether to fetch it.
+
+    What is reported of a former era changes nothing.
+    """
+    topic = Topic(reported.topic)
+    known = gossip.revision_by_topic[topic]
+    if reported.era < gossip.era_by_topic[topic]:
+        return False
+    if reported.recovery_age >= 0:
+        record_recovery(
+            gossip,
+            topic,
+            now - reported.recovery_age / _MILLISECONDS_PER_SECOND,
+        )
+    confirmed_at = _find_confirmation_time(gossip, reported, now)
+    if is_newer(gossip, topic, reported.era, reported.revision):
+        return True
+    if reported.revision != known or not known:
+        return False
+    confirm_revision(
+        gossip,
+        topic,
+        known,
+        confirmed_at,
+        Confirmation(
+            reported.clock, reported.confirmed_at / _MILLISECONDS_PER_SECOND
+        ),
+    )
+    return topic is Topic.CONFIGURATION and reported.version > version
+
+
+def _find_confirmation_time(
+    gossip: GossipState, reported: TopicRevision, now: float
+) -> float:
+    """Return when the reported revision was confirmed, on the own clock."""
+    latest = now - reported.age / _MILLISECONDS_PER_SECOND
+    if not reported.clock:
+        return latest
+    moment = reported.confirmed_at / _MILLISECONDS_PER_SECOND
+    if reported.clock == gossip.clock:
+        return moment
+    return convert_time(
+        gossip.reader_clocks, reported.clock, moment, latest, now
+    )
 
 
 def _list_topic_revisions(
     gossip: GossipState,
+    version: int,
     now: float,
 ) -> Iterator[TopicRevision]:
     for topic, revision in gossip.revision_by_topic.items():
         if revision:
-            age = age_in_milliseconds(gossip.confirmed_at_by_topic[topic], now)
-            recovered_at = gossip.recovered_at_by_topic[topic]
-            recovery_age = (
-                age_in_milliseconds(recovered_at, now)
-                if recovered_at > 0
-                else -1
-            )
-            yield TopicRevision(topic, revision, age, recovery_age)
+            yield _describe_topic(gossip, topic, version, now)
+
+
+def _describe_topic(
+    gossip: GossipState, topic: Topic, version: int, now: float
+) -> TopicRevision:
+    recovered_at = gossip.recovered_at_by_topic[topic]
+    confirmation = gossip.confirmation_by_topic.get(topic, _UNKNOWN)
+    return TopicRevision(
+        topic,
+        gossip.revision_by_topic[topic],
+        age_in_milliseconds(gossip.confirmed_at_by_topic[topic], now),
+        age_in_milliseconds(recovered_at, now) if recovered_at > 0 else -1,
+        gossip.era_by_topic[topic],
+        version if topic is Topic.CONFIGURATION else 0,
+        confirmation.clock,
+        int(confirmation.moment * _MILLISECONDS_PER_SECOND),
+    )
+
+
+_UNKNOWN: Final = Confirmation(0, 0)
--- a/marlbend/steering/members.py
+++ b/marlbend/steering/members.py
@@ -44,13 +44,15 @@
     `last_seen_at` is when it was last heard from, in steady seconds.
     `can_read` is whether its reads of the platform succeed; of the live
     members for which they do, the one with the lowest `rank` is the reader; the
-    rank is a checksum of the name.
+    rank is a checksum of the name.  `knows_eras` is false for an instance of a
+    former release.
     """
 
     __slots__ = (
         'can_read',
         'domain',
         'endpoint',
+        'knows_eras',
         'last_seen_at',
         'name',
         'rank',
@@ -62,6 +64,7 @@
         self.endpoint = update.endpoint
         self.domain = update.domain
         self.can_read = update.can_read
+        self.knows_eras = update.knows_eras
         self.last_seen_at = last_seen_at
         self.rank = zlib.crc32(update.name.encode())
 
@@ -161,6 +164,7 @@
         domain=member.domain,
         age=age_in_milliseconds(member.last_seen_at, now),
         can_read=member.can_read,
+        knows_eras=member.knows_eras,
     )
 
 
--- a/marlbend/steering/recent_changes.py
+++ b/marlbend/steering/recent_changes.py
@@ -12,6 +12,7 @@
 
 __all__ = (
     'RecentChanges',
+    'forget_changes',
     'list_fresh_changes',
     'list_since',
     'record_changes',
@@ -64,6 +65,12 @@
     recent.bytes_by_topic[topic] = size
 
 
+def forget_changes(recent: RecentChanges, topic: int) -> None:
+    """Remove the changes of a topic, since their revisions no longer count."""
+    recent.history_by_topic.pop(topic, None)
+    recent.bytes_by_topic.pop(topic, None)
+
+
 def list_fresh_changes(
     recent: RecentChanges,
     now: float,
--- a/marlbend/steering/state.py
+++ b/marlbend/steering/state.py
@@ -285,8 +285,9 @@
     `domains_out` maps each failure domain that the operator took out to the
     time of its return, or `OUT_INDEFINITELY`.  Its upstreams may have become
     cold, so the domain is used again only once the list of upstreams is as
-    recent as its return.  `partition_by_domain` holds the domains that seem to
-    be partitioned.
+    recent as its return.  The time is in the future if a copy of the store
+    lacks that the domain is out.  `partition_by_domain` holds the domains that
+    seem to be partitioned.
 
     `upstreams_known` is set by the first complete list.
     `upstreams_confirmed_at` is when the platform last confirmed the upstreams,
--- a/marlbend/steering/upstreams.py
+++ b/marlbend/steering/upstreams.py
@@ -11,12 +11,15 @@
 
 from marlbend.steering.documents import UpstreamEntry
 
-__all__ = ('Upstream', 'UpstreamPool', 'derive_cookie')
+__all__ = ('HeldEntry', 'Upstream', 'UpstreamPool', 'derive_cookie')
 
 # A removed registration is still used for this long, since it may have expired
 # in an outage of the platform: live upstreams register again within two seconds
 # of the end of the outage.
 MISSING_SECONDS: Final = 2.2
+# After the store came back from a copy, upstreams write their registrations
+# again, and those of dead ones expire, within this time.
+REWRITE_SECONDS: Final = 10.0
 # The cookie of an ended upstream is kept for this long; no flow is older than a
 # minute.
 ENDED_SECONDS: Final = 65.0
@@ -159,14 +162,33 @@
         self.domain_busy_at: float = 0
 
 
+@final
+class HeldEntry:
+    """Hold a registration that is not used, and since when it is known."""
+
+    __slots__ = ('entry', 'since')
+
+    def __init__(self, entry: UpstreamEntry, since: float) -> None:
+        """Set both."""
+        self.entry = entry
+        self.since = since
+
+
 @final
 class UpstreamPool:
-    """Hold the registered upstreams, and those that ended recently."""
+    """Hold the registered upstreams, and those that ended recently.
+
+    `held_by_name` holds registrations that only a copy of the store has, and
+    `lost` the names of those that it lacks, with the time of its return; see
+    `marlbend.steering.upstreams_restored`.
+    """
 
-    __slots__ = ('by_cookie', 'by_name', 'by_service')
+    __slots__ = ('by_cookie', 'by_name', 'by_service', 'held_by_name', 'lost')
 
     def __init__(self) -> None:
         """Initialize as empty."""
+        self.held_by_name: dict[str, HeldEntry] = {}
+        self.lost: dict[str, float] = {}
         self.by_name: dict[str, Upstream] = {}
         self.by_cookie: dict[int, Upstream] = {}
         self.by_service: dict[str, dict[str, Upstream]] = {}
@@ -183,6 +205,8 @@
     now: float,
 ) -> bool:
     """Add or update an upstream; return whether it was not in use before."""
+    pool.lost.pop(entry.name, None)
+    pool.held_by_name.pop(entry.name, None)
     known = pool.by_name.get(entry.name)
     if known is None or known.entry.born != entry.born:
         _remove(pool, known)
@@ -222,6 +246,7 @@
     if known is None or known.ended_at:
         return False
     known.ended_at = now
+    pool.lost.pop(name, None)
     pool.by_service[known.entry.service].pop(name, None)
     return True
 
@@ -242,7 +267,9 @@
         if known.ended_at:
             if now - known.ended_at > ENDED_SECONDS:
                 _remove(pool, known)
-        elif _has_stayed_missing(known, confirmed):
+        elif _has_stayed_missing(
+            known, confirmed, is_lost=known.name in pool.lost
+        ):
             end_upstream(pool, known.name, now)
             yield known
 
@@ -250,10 +277,13 @@
 def _has_stayed_missing(
     known: Upstream,
     confirmed: tuple[float, float],
+    *,
+    is_lost: bool,
 ) -> bool:
     since, until = confirmed
     missing_seconds = until - max(known.missing_since, since)
-    return known.missing_since > 0 and missing_seconds > MISSING_SECONDS
+    limit = REWRITE_SECONDS if is_lost else MISSING_SECONDS
+    return known.missing_since > 0 and missing_seconds > limit
 
 
 def registered_names_except(
--- /dev/null
+++ b/marlbend/steering/upstreams_restored.py
@@ -0,0 +1,79 @@
+"""Decide on registrations after the store came back from a copy.
+
+The copy is some seconds old.  It may have upstreams that have left since, in
+the state that they had then, and lack those that have registered since.  Both
+write again what holds, some time later; the registration of an upstream that
+is gone expires.  Until then what is known from before the return counts.
+
+Designed for a store that loses its latest changes while upstreams come and go.
+"""
+
+from collections.abc import Iterator
+
+from marlbend.steering.documents import UpstreamEntry
+from marlbend.steering.upstreams import (
+    REWRITE_SECONDS,
+    HeldEntry,
+    UpstreamPool,
+    mark_missing,
+)
+
+__all__ = (
+    'is_held',
+    'list_confirmed_entries',
+    'lose_registration',
+    'release_absent',
+    'restore_entry',
+)
+
+
+def restore_entry(
+    pool: UpstreamPool, entry: UpstreamEntry, now: float
+) -> UpstreamEntry | None:
+    """Return what to register for an entry of the copy, `None` for nothing.
+
+    An upstream that has ended, is missing or drains stays so, and its entry is
+    held; so is an entry of an earlier start.
+    """
+    known = pool.by_name.get(entry.name)
+    if known is None or known.entry.born < entry.born:
+        return entry
+    is_earlier_start = known.entry.born > entry.born
+    has_left = known.ended_at > 0 or known.missing_since > 0
+    is_leaving = entry.accepting and not known.entry.accepting
+    if is_earlier_start:
+        lose_registration(pool, entry.name, now)
+    if is_earlier_start or has_left or is_leaving:
+        pool.held_by_name[entry.name] = HeldEntry(entry, now)
+        return None
+    return entry
+
+
+def lose_registration(pool: UpstreamPool, name: str, now: float) -> None:
+    """Keep an upstream that the copy lacks, until it registers again."""
+    if mark_missing(pool, name, now):
+        pool.lost[name] = now
+
+
+def is_held(pool: UpstreamPool, entry: UpstreamEntry) -> bool:
+    """Return whether an entry is the one of the copy, not written since."""
+    held = pool.held_by_name.get(entry.name)
+    return held is not None and held.entry == entry
+
+
+def release_absent(pool: UpstreamPool, present: set[str]) -> None:
+    """Forget held entries that the store no longer has."""
+    for name in pool.held_by_name.keys() - present:
+        pool.held_by_name.pop(name)
+
+
+def list_confirmed_entries(
+    pool: UpstreamPool, confirmed_until: float
+) -> Iterator[UpstreamEntry]:
+    """Yield the held entries that the store has kept for long enough.
+
+    Those of upstreams that are gone have expired by then.
+    """
+    for held in tuple(pool.held_by_name.values()):
+        if confirmed_until - held.since > REWRITE_SECONDS:
+            yield held.entry
--- a/marlbend/test/edge.py
+++ b/marlbend/test/edge.py
@@ -10,10 +10,10 @@
 from bench.platform import STORE_KEY, make_application
 from bench.store import Store, put_object
 from marlbend.clock import steady_seconds
+from marlbend.edge.fetching import make_topic_handlers
+from marlbend.edge.node import GossipNode
 from marlbend.edge.peers import (
-    GossipNode,
     make_announcer,
-    make_topic_handlers,
     receive_heartbeat,
     send_heartbeats,
 )
@@ -99,7 +99,8 @@
         self.tasks = [
             asyncio.create_task(watch_topic(watcher)) for watcher in watchers
         ]
-        self.tasks.append(asyncio.create_task(send_heartbeats(self.node)))
+        self.heartbeats = asyncio.create_task(send_heartbeats(self.node))
+        self.tasks.append(self.heartbeats)
 
     async def open_links(self) -> tuple[str, int]:
         """Open the links, if any; return the endpoint to serve topics at."""
--- a/marlbend/test/simulation.py
+++ b/marlbend/test/simulation.py
@@ -16,8 +16,8 @@
 import msgspec
 
 from marlbend.edge.changes import apply_peer_changes
+from marlbend.edge.node import GossipNode
 from marlbend.edge.peers import (
-    GossipNode,
     receive_heartbeat,
     send_gossip_round,
     send_urgent_heartbeats,
--- a/marlbend/test/test_edge.py
+++ b/marlbend/test/test_edge.py
@@ -10,7 +10,8 @@
 from bench.store import Faults, set_faults
 from marlbend.clock import steady_seconds
 from marlbend.edge.maintenance import restore_domains
-from marlbend.edge.peers import GossipNode, receive_heartbeat
+from marlbend.edge.node import GossipNode
+from marlbend.edge.peers import receive_heartbeat
 from marlbend.edge.watch import TopicWatcher, watch_topic
 from marlbend.http import Connection
 from marlbend.steering.gossip import (
--- a/marlbend/test/test_gossip.py
+++ b/marlbend/test/test_gossip.py
@@ -168,6 +168,35 @@
     assert member.rank not in gossip.members.by_rank
 
 
+def test_delayed_heartbeats_do_not_make_knowledge_look_younger() -> None:
+    """The reader confirms a revision four times a second, then no longer."""
+    reader, middle, last = (make_gossip(0) for _ in range(3))
+    for step in range(40):
+        now = 100 + step * 0.25
+        confirm_revision(reader, Topic.UPSTREAMS, 5, now)
+        pass_on(reader, middle, now, 0.01)
+        pass_on(middle, last, now + 0.02, 0.01)
+    for delay in (1, 2, 3):
+        now = 110 + delay * 8
+        pass_on(reader, middle, now, delay)
+        pass_on(middle, last, now + delay + 0.1, delay)
+        age = (
+            now + 2 * delay + 0.1 - last.confirmed_at_by_topic[Topic.UPSTREAMS]
+        )
+        true_age = now + 2 * delay + 0.1 - 109.75
+        assert age >= true_age - 0.05
+
+
+def pass_on(
+    sender: GossipState, receiver: GossipState, now: float, delay: float
+) -> None:
+    """Send what is known by a heartbeat that takes some seconds."""
+    heartbeat = make_heartbeat(sender, Random(1), now)
+    merge_heartbeat(receiver, heartbeat, now + delay)
+    receiver.revision_by_topic[Topic.UPSTREAMS] = 5
+    merge_heartbeat(receiver, heartbeat, now + delay)
+
+
 def make_steering() -> Steering:
     def ignore(*parts: object) -> None:
         """Ignore the call."""
--- a/marlbend/test/test_propagation.py
+++ b/marlbend/test/test_propagation.py
@@ -236,6 +236,8 @@
         reader.announces_changes = True
         other = await fleet.add('n2', '127.9.2.1', store=UNREACHABLE_STORE)
         await wait_until(lambda: other.version == 3)
+        # A periodic heartbeat would report that version 3 is missing.
+        reader.heartbeats.cancel()
         routes = other.steering.routes
         routes.publication = msgspec.structs.replace(
             routes.publication, version=2, routes=()
--- a/marlbend/wire/heartbeats.py
+++ b/marlbend/wire/heartbeats.py
@@ -36,6 +36,7 @@
 _Address = Annotated[str, msgspec.Meta(pattern=r'^\d{1,3}(\.\d{1,3}){3}$')]
 _Port = Annotated[int, msgspec.Meta(ge=1, le=MAX_PORT)]
 _Rank = Annotated[int, msgspec.Meta(ge=0, le=MAX_RANK)]
+_Era = Annotated[int, msgspec.Meta(ge=0)]
 _TopicNumber = Annotated[int, msgspec.Meta(ge=0, le=MAX_TOPIC)]
 
 
@@ -45,23 +46,37 @@
 
     `age` is the time since that revision was known to be the latest, and
     `recovery_age` the time since the platform recovered from a failure, -1 if
-    that never happened.
+    that never happened.  `era` is the era of the store that the revision
+    belongs to, and `version` the version of the configuration in force, zero
+    for other topics.  `clock` identifies the clock of the instance that read
+    the revision from the platform, zero if it is unknown, and `confirmed_at` is
+    the time of that on it, in milliseconds.
+
+    Instances of former releases send neither of the last four.
     """
 
     topic: _TopicNumber
     revision: int
     age: _Age
     recovery_age: _OptionalAge = -1
+    era: _Era = 0
+    version: int = 0
+    clock: int = 0
+    confirmed_at: int = 0
 
 
 @final
 class TopicChanges(msgspec.Struct, array_like=True, frozen=True):
-    """Carry the changes of a topic after one revision and up to another."""
+    """Carry the changes of a topic after one revision and up to another.
+
+    Both revisions belong to the same era.
+    """
 
     topic: _TopicNumber
     since: int
     until: int
     body: bytes
+    era: _Era = 0
 
 
 @final
@@ -70,6 +85,8 @@
 
     `endpoint` is its control endpoint, `age` the time since it was last heard
     from, and `can_read` whether its reads of the platform succeed.
+    `knows_eras` is false for an instance of a former release, which cannot tell
+    the revisions of one era of the store from those of another.
     """
 
     name: str
@@ -77,6 +94,7 @@
     domain: str
     age: _Age
     can_read: bool
+    knows_eras: bool = False
 
 
 @final
--- a/marlbend/wire/status.py
+++ b/marlbend/wire/status.py
@@ -12,10 +12,14 @@
 
 
 class TopicStatus(msgspec.Struct, frozen=True):
-    """Report the known revision of a topic and its age in seconds."""
+    """Report the known revision of a topic and its age in seconds.
+
+    `era` rises each time the store comes back from a copy.
+    """
 
     revision: int
     age_seconds: float
+    era: int = 0
 
 
 class MemberStatus(msgspec.Struct, frozen=True):
