--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -50,6 +50,11 @@
     parser.add_argument(
         '--idle-routes', type=int, default=0, help='routes without traffic'
     )
+    parser.add_argument(
+        '--returns',
+        action='store_true',
+        help='let the store come back from a copy as well',
+    )
     parser.add_argument('--replay', metavar='FILE', help='a saved schedule')
     parser.add_argument('--json', action='store_true')
     return parser.parse_args()
@@ -60,7 +65,10 @@
         saved = pathlib.Path(arguments.replay).read_bytes()
         return msgspec.json.decode(saved, type=Schedule)
     schedule = draw_schedule(
-        arguments.seed, arguments.seconds, arguments.instances
+        arguments.seed,
+        arguments.seconds,
+        arguments.instances,
+        with_returns=arguments.returns,
     )
     return msgspec.structs.replace(schedule, idle_routes=arguments.idle_routes)
 
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -14,6 +14,7 @@
     changed    an upstream gets a packet that differs from what a caller sent
     ended      a process exits unexpectedly
     log        a process writes a line that isn't JSON
+    calls      the instances call the store in a loop without a pause
     recovery   too few requests served or an instance not ready at the end
 
 `leaving` and `late` apply only while the instance, the store and this machine
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -49,6 +49,7 @@
         'store_mute': platform.degrade_store(Faults(silent_watches=True)),
         'store_forgets': platform.degrade_store(Faults(forget=True)),
         'store_lapses': platform.expire_registrations,
+        'store_returns': platform.return_from_copy,
         'store_away': network.impair_store_links,
         'beats_lost': network.impair_heartbeats,
         'packets_lost': network.impair_packets,
--- a/soak/platform.py
+++ b/soak/platform.py
@@ -5,7 +5,14 @@
 from typing import Final
 
 from bench.endpoints.upstreams import UpstreamServer, UpstreamState
-from bench.store import Faults, put_object, set_faults
+from bench.store import (
+    Faults,
+    StoredObject,
+    copy_store,
+    put_object,
+    restore_copy,
+    set_faults,
+)
 from marlbend.clock import steady_seconds
 from soak.checker import DOMAIN_OUT_BOUND_SECONDS, STORE, exclude
 from soak.participants import FaultInjector, disturbing, list_ready_upstreams
@@ -26,12 +33,16 @@
     'expire_registrations',
     'publish_release',
     'publish_storm',
+    'return_from_copy',
     'take_domain_out',
     'write_bad_registration',
 )
 
 # Upstreams register again within two seconds after the store is back.
 MAX_RETURN_SECONDS: Final = 1.5
+MAX_OUTAGE_SECONDS: Final = 1.0
+# Writers write again within this time of the store's return from a copy.
+MAX_REWRITE_SECONDS: Final = 3.0
 STORM_RELEASES: Final = 6
 STORM_INTERVAL_SECONDS: Final = 0.15
 NAME_COUNT: Final = 1_000_000
@@ -73,6 +84,47 @@
                 await write_registration(run, upstream)
 
 
+async def return_from_copy(run: Run, step: Step, random: Random) -> None:
+    """Let the store come back from a copy that is as old as the step is long.
+
+    Operators and upstreams write again what the copy lacks, each in its time.
+    """
+    copy = copy_store(run.store)
+    await asyncio.sleep(step.seconds)
+    async with disturbing(run, STORE):
+        await set_faults(run.store, Faults(down=True))
+        await asyncio.sleep(random.uniform(0, MAX_OUTAGE_SECONDS))
+        lost = dict(run.store.object_by_path)
+        await restore_copy(run.store, copy)
+        await set_faults(run.store, Faults())
+        paths = lost.keys() | copy.object_by_path.keys()
+        async with asyncio.TaskGroup() as group:
+            for path in sorted(paths):
+                kept = copy.object_by_path.get(path)
+                if lost.get(path) != kept:
+                    delay = random.uniform(0, MAX_REWRITE_SECONDS)
+                    group.create_task(
+                        _write_again(run, path, (kept, lost.get(path)), delay)
+                    )
+
+
+async def _write_again(
+    run: Run,
+    path: tuple[str, str],
+    versions: tuple[StoredObject | None, StoredObject | None],
+    delay: float,
+) -> None:
+    """Write the lost version of an object, unless a later one was written.
+
+    `versions` are that of the copy and the lost one, `None` without an object.
+    """
+    kept, lost = versions
+    await asyncio.sleep(delay)
+    if run.store.object_by_path.get(path) == kept:
+        spec = None if lost is None else bytes(lost.spec)
+        await put_object(run.store, path, spec)
+
+
 async def _expire_registration(run: Run, upstream: UpstreamServer) -> None:
     """Remove a registration as expiry does, even while the store is down."""
     path = ('servers', upstream.name)
--- a/soak/run.py
+++ b/soak/run.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from marlbend.clock import steady_seconds
+from soak.calls import watch_calls
 from soak.checker import Finding, report
 from soak.faults import inject_faults
 from soak.load_generator import send_load, send_route_probes
@@ -76,6 +77,7 @@
             watch_cpu_starvation(run),
             send_route_probes(run),
             send_load(run),
+            watch_calls(run),
         )
     ]
     end = run.checker.started_at + schedule.seconds
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -60,6 +60,9 @@
         'restart_upstream': (0, 0, 1),
         # Never drawn, only in saved schedules: instances can't detect it.
         'restart_unseen': (0, 0, 0),
+        # Drawn apart from the others, so that the schedules of earlier seeds
+        # stay as they are.
+        'store_returns': (0.5, 5, 0),
         'pause_upstream': (0.5, 4, 2),
         'drain_upstream': (5, 7, 3),
         'add_upstream': (4, 8, 3),
@@ -95,13 +98,24 @@
     idle_routes: int = 0
 
 
-def draw_schedule(seed: int, seconds: float, instances: int = 0) -> Schedule:
-    """Return the schedule of a seed, by default with drawn instances."""
+def draw_schedule(
+    seed: int,
+    seconds: float,
+    instances: int = 0,
+    *,
+    with_returns: bool = False,
+) -> Schedule:
+    """Return the schedule of a seed, by default with drawn instances.
+
+    `with_returns` adds a series in which the store comes back from a copy.
+    """
     random = Random(seed)
     drawn_instances = random.randint(MIN_INSTANCES, MAX_INSTANCES)
     end = seconds - FAULT_FREE_SECONDS
     series = max(int((end - STARTUP_SECONDS) * SERIES_PER_SECOND), 1)
     steps = [step for _ in range(series) for step in _draw_series(random, end)]
+    if with_returns:
+        steps.extend(_draw_steps('store_returns', random, end))
     steps.sort(key=_start_time)
     return Schedule(seed, seconds, instances or drawn_instances, tuple(steps))
 
@@ -110,6 +124,10 @@
     kind = random.choices(
         tuple(KINDS), [weight for _, _, weight in KINDS.values()]
     )[0]
+    yield from _draw_steps(kind, random, end)
+
+
+def _draw_steps(kind: str, random: Random, end: float) -> Iterator[Step]:
     min_seconds, max_seconds, _ = KINDS[kind]
     at = random.uniform(STARTUP_SECONDS, end)
     for _ in range(random.randint(1, MAX_SERIES_STEPS)):
