Fix a division by zero and a load that stays on a plain fabric

rendezvous_score divided by zero for hashes that round to 2**64: the fraction is now below 1. A service without flows was left out of load reports, so that the others kept its last counts: it is reported with zeros once it was reported. Both had been noticed on reading. Tests, which failed before, in test_reports.py: test_rendezvous_score_does_not_divide_by_zero and test_loads_that_fall_to_zero_are_reported.

--- a/marlbend/hashing.py
+++ b/marlbend/hashing.py
@@ -9,6 +9,8 @@
 
 HASH_BITS: Final = 64
 HASH_RANGE: Final = float(1 << HASH_BITS)
+# The largest floating-point number below 1.
+MAX_FRACTION: Final = math.nextafter(1, 0)
 _NUMBER_BYTES: Final = 8
 
 
@@ -28,7 +30,7 @@
     The candidate with the highest score is selected, so that each candidate is
     selected in proportion to its weight.
     """
-    # Adding 1 keeps the fraction above 0, where the logarithm is undefined.  It
-    # must also be below 1, where the logarithm is 0.
-    fraction = (hash_code + 1) / (HASH_RANGE + 2)
+    # Adding 1 keeps the fraction above 0, where the logarithm is undefined.
+    # The largest hashes are rounded to 1, where it is 0.
+    fraction = min((hash_code + 1) / (HASH_RANGE + 2), MAX_FRACTION)
     return -weight / math.log(fraction)
--- a/marlbend/ownership/daemon/loads.py
+++ b/marlbend/ownership/daemon/loads.py
@@ -16,7 +16,7 @@
 from marlbend.ownership.upstreams.load import apply_report
 from marlbend.ownership.wire.replication import LoadReport, ServiceLoad
 
-__all__ = ('handle_load_report', 'report_loads')
+__all__ = ('count_loads', 'handle_load_report', 'report_loads')
 
 CHECK_INTERVAL_SECONDS: Final = 0.2
 # Part of the 4,096 bytes/s of control traffic that an instance may use.
@@ -26,13 +26,17 @@
 
 @final
 class _ReporterState:
-    """Hold the last reported loads and the remaining byte budget."""
+    """Hold the last reported loads and the remaining byte budget.
 
-    __slots__ = ('budget_bytes', 'last_loads')
+    `reported_services` are those that were ever reported.
+    """
+
+    __slots__ = ('budget_bytes', 'last_loads', 'reported_services')
 
     def __init__(self) -> None:
         self.last_loads: tuple[ServiceLoad, ...] = ()
         self.budget_bytes: float = BURST_BYTES
+        self.reported_services: set[str] = set()
 
 
 async def report_loads(instance: Instance) -> None:
@@ -42,9 +46,10 @@
         await asyncio.sleep(CHECK_INTERVAL_SECONDS)
         refill = BUDGET_BYTES_PER_SECOND * CHECK_INTERVAL_SECONDS
         state.budget_bytes = min(BURST_BYTES, state.budget_bytes + refill)
-        loads = tuple(_count_loads(instance.path))
+        loads = tuple(count_loads(instance.path, state.reported_services))
         if state.budget_bytes > 0 and loads != state.last_loads:
             state.last_loads = loads
+            state.reported_services.update(load.service for load in loads)
             state.budget_bytes -= _send(instance, loads)
 
 
@@ -69,11 +74,11 @@
             )
 
 
-def _count_loads(path: PacketPath) -> Iterator[ServiceLoad]:
+def count_loads(path: PacketPath, reported: set[str]) -> Iterator[ServiceLoad]:
     """Yield the counts of each service with open flows on accepting upstreams.
 
-    Any other service is left out, and receivers keep the counts that were last
-    reported for it.
+    Services in `reported` are included without any: receivers keep the counts
+    that were last reported.
     """
     opened = path.table.open_by_number
     for name, service in path.active.service_by_name.items():
@@ -81,9 +86,7 @@
             opened.get(upstream.number, 0)
             for upstream in service.accepting_upstreams
         )
-        # Reports are stored by origin and service, so `(name, '')` is not among
-        # their keys.
-        if any(counts) or (name, '') in path.loads.report_by_key:
+        if any(counts) or name in reported:
             yield ServiceLoad(name, counts)
 
 
