Never take a copy of a response for the next one

A second copy of a response in the same read was appended to its body. Copies that came later could not be taken for the next response, since each request had a connection of its own; but only because the parser says after a message that the connection is not kept. Make that the rule, and ignore what follows a response.

--- a/marlbend/http/client.py
+++ b/marlbend/http/client.py
@@ -1,8 +1,7 @@
 """Send HTTP requests to the platform or to an instance.
 
-A connection carries one request at a time and is kept alive for the next one.
-After a timeout or a malformed response it is closed, since it cannot be used
-for another request.
+Each request has a connection of its own.  On a connection that is kept, a late
+copy of a response would be taken for the response to the next request.
 """
 
 import asyncio
@@ -45,18 +44,25 @@
 class _ResponseCollector:
     """Collect the headers and body of one response from parser callbacks."""
 
-    __slots__ = ('body', 'headers', 'is_complete')
+    __slots__ = ('body', 'has_extra', 'headers', 'is_complete')
 
     def __init__(self) -> None:
         self.body = bytearray()
         self.headers: dict[str, str] = {}
         self.is_complete = False
+        self.has_extra = False
+
+    def on_message_begin(self) -> None:
+        self.has_extra = self.is_complete
 
     def on_header(self, name: bytes, header: bytes) -> None:
-        self.headers[name.decode('latin-1').lower()] = header.decode('latin-1')
+        if not self.has_extra:
+            key = name.decode('latin-1').lower()
+            self.headers[key] = header.decode('latin-1')
 
     def on_body(self, body: bytes) -> None:
-        self.body.extend(body)
+        if not self.has_extra:
+            self.body.extend(body)
 
     def on_message_complete(self) -> None:
         self.is_complete = True
@@ -79,7 +85,7 @@
 
 @final
 class Connection:
-    """Send requests on a persistent connection, opened by the first one."""
+    """Send one request at a time to a server."""
 
     __slots__ = ('_endpoint', '_stream')
 
@@ -116,7 +122,7 @@
             self.close()
 
     def close(self) -> None:
-        """Close the connection; the next request opens a new one."""
+        """Close the connection of a request, if there is one."""
         if self._stream is not None:
             self._stream.writer.transport.abort()
         self._stream = None
@@ -144,13 +150,14 @@
         collector = _ResponseCollector()
         parser = httptools.HttpResponseParser(collector)
         parser.feed_data(first_chunk)
+        status = parser.get_status_code()
         while not collector.is_complete:
             async with asyncio.timeout(PROGRESS_TIMEOUT_SECONDS):
                 parser.feed_data(await _read_chunk(stream))
-        if not parser.should_keep_alive():
-            self.close()
+            status = parser.get_status_code()
+        self.close()
         return ClientResponse(
-            parser.get_status_code(),
+            status,
             bytes(collector.body),
             steady_seconds() - started_at,
             collector.headers,
