Let retries at the store not grow with the fleet

The delay now grows with the instances that one hears from, to 50 to 100 calls a second for each topic; one that succeeds tells the others. Test: test_retries_at_the_store_do_not_grow_with_the_fleet.

--- a/marlbend/edge/watch.py
+++ b/marlbend/edge/watch.py
@@ -47,6 +47,7 @@
     Topic,
     confirm_revision,
     enter_era,
+    list_live_members,
     record_recovery,
     should_read_platform,
     update_revision,
@@ -55,7 +56,7 @@
 from marlbend.steering.upstreams import has_missing
 from marlbend.wire.heartbeats import TopicChanges
 
-__all__ = ('TopicWatcher', 'watch_topic')
+__all__ = ('TopicWatcher', 'find_retry_delay', 'watch_topic')
 
 _Decoded = TypeVar('_Decoded')
 # The objects of a topic, the store revision and the era.
@@ -76,6 +77,9 @@
 # The delay after a failed call doubles from the first value up to the second.
 INITIAL_RETRY_SECONDS: Final = 0.1
 MAX_RETRY_SECONDS: Final = 1.0
+# While the store is away, all instances together retry this often for each
+# topic.  One that succeeds tells the others.
+FLEET_RETRIES_PER_SECOND: Final = 50.0
 # Calls for one topic: more than a storm of changes makes, and less than a loop
 # without a pause.  If 300 instances read all topics at once, they make 3,600 of
 # the 6,000 calls that the platform allows them in a second.
@@ -157,9 +161,18 @@
             await _read_once(watcher)
         except MarlbendError as error:
             _record_failure(watcher, error)
-            await asyncio.sleep(
-                watcher.retry_delay * watcher.random.uniform(0.5, 1)
-            )
+            delay = find_retry_delay(watcher)
+            await asyncio.sleep(delay * watcher.random.uniform(0.5, 1))
+
+
+def find_retry_delay(watcher: TopicWatcher) -> float:
+    """Return the delay after a failed call, in seconds.
+
+    It grows with the instances that this one hears from, since each of them
+    retries as well.  An instance that hears from nobody relies on itself.
+    """
+    live = sum(1 for _ in list_live_members(watcher.gossip, steady_seconds()))
+    return max(watcher.retry_delay, live / FLEET_RETRIES_PER_SECOND)
 
 
 async def _read_once(watcher: TopicWatcher) -> None:
@@ -359,7 +372,7 @@
 ) -> None:
     gossip = watcher.gossip
     confirm_revision(gossip, watcher.topic, revision, confirmed_at)
-    gossip.myself.can_read = True
+    gossip.myself.can_read = not gossip.is_leaving
     if watcher.platform_lost:
         record_recovery(gossip, watcher.topic, steady_seconds())
         emit(Event.PLATFORM_RECOVERED, kind=watcher.topic.name.lower())
@@ -421,7 +434,11 @@
 ) -> _Decoded:
     try:
         return parse(response.body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (
+        msgspec.DecodeError,
+        UnicodeDecodeError,
+        RecursionError,
+    ) as error:
         raise MarlbendError(
             ErrorKind.MESSAGE_MALFORMED,
             error_messages.MESSAGE_MALFORMED.format(
--- a/marlbend/test/test_overload.py
+++ b/marlbend/test/test_overload.py
@@ -9,8 +9,18 @@
 
 import pytest
 
+from marlbend.clock import steady_seconds
+from marlbend.edge.watch import (
+    FLEET_RETRIES_PER_SECOND,
+    TopicWatcher,
+    find_retry_delay,
+)
+from marlbend.http import Connection
 from marlbend.observe.control_traffic import Cause
+from marlbend.steering.gossip import Topic
+from marlbend.steering.members import merge_member
 from marlbend.test.simulation import FleetSimulation
+from marlbend.wire.heartbeats import MemberUpdate
 
 LINK_BYTES_PER_SECOND: Final = 1_250_000
 UPSTREAM_NAMES: Final = tuple(f'h-{number:04x}' for number in range(300))
@@ -46,3 +56,26 @@
     for instance in outage.instances:
         urgent_bytes = instance.node.traffic.bytes_by_cause[Cause.URGENT]
         assert urgent_bytes < 0.05 * LINK_BYTES_PER_SECOND * outage_seconds
+
+
+@pytest.mark.parametrize('count', (8, 60, 300, 1000))
+def test_retries_at_the_store_do_not_grow_with_the_fleet(count: int) -> None:
+    simulation = FleetSimulation(1, {'a': 1})
+    simulation.start(1, LINK_BYTES_PER_SECOND)
+    node = simulation.instances[0].node
+    now = steady_seconds()
+    for number in range(1, count):
+        endpoint = ('10.1.0.1', number)
+        update = MemberUpdate(f'm-{number}', endpoint, 'a', 0, can_read=False)
+        merge_member(node.gossip.members, update, now)
+    watcher = TopicWatcher(
+        Topic.UPSTREAMS,
+        Connection(('127.0.0.1', 9)),
+        node.steering,
+        node.gossip,
+        lambda changes: None,
+    )
+    watcher.retry_delay = 1
+    # Delays are drawn between half of it and all of it.
+    shortest_delay = find_retry_delay(watcher) / 2
+    assert count / shortest_delay <= 2 * FLEET_RETRIES_PER_SECOND
