--- a/marlbend/edge/changes.py
+++ b/marlbend/edge/changes.py
@@ -32,6 +32,7 @@
     GossipState,
     Topic,
     is_applicable,
+    is_known,
     is_newer,
     update_revision,
 )
@@ -87,7 +88,8 @@
     are passed on.  `sender`, a name or an address, is only logged.
     """
     applied = False
-    for changes in sorted(received_changes, key=_until_of):
+    known_changes = [each for each in received_changes if is_known(each.topic)]
+    for changes in sorted(known_changes, key=_until_of):
         is_usable = is_applicable(gossip, changes)
         if is_usable and _apply(steering, changes, sender):
             topic = Topic(changes.topic)
--- a/marlbend/edge/fetching.py
+++ b/marlbend/edge/fetching.py
@@ -4,6 +4,7 @@
 they are no longer known here, the whole topic.
 """
 
+import re
 from typing import Final
 
 import msgspec
@@ -51,6 +52,8 @@
 _OK: Final = 200
 _UNAVAILABLE: Final = 503
 _TOPIC_PATH: Final = '/beliefs/{topic}'
+# Revisions have 64 bits.
+_REVISION: Final = re.compile('[0-9]{1,19}')
 _SINCE_PREFIX: Final = 'since='
 _ERA_PREFIX: Final = 'era='
 # Only an instance that sends this accepts compressed contents, and changes of
@@ -150,9 +153,8 @@
     """
     requested = query_parts[0].removeprefix(_SINCE_PREFIX)
     era = gossip.era_by_topic[topic]
-    if not requested.isdecimal() or (
-        era and f'{_ERA_PREFIX}{era}' not in query_parts
-    ):
+    is_same_era = not era or f'{_ERA_PREFIX}{era}' in query_parts
+    if not is_same_era or _REVISION.fullmatch(requested) is None:
         return ()
     return list_since(
         gossip.recent_changes,
@@ -177,7 +179,7 @@
             sender_address[0],
             requested_at,
         )
-    except (MarlbendError, msgspec.DecodeError) as error:
+    except (MarlbendError, msgspec.DecodeError, RecursionError) as error:
         node.gossip.transfers_by_topic[topic].failed_fetches += 1
         emit(
             Event.UPDATE_FAILED,
--- a/marlbend/edge/peers.py
+++ b/marlbend/edge/peers.py
@@ -42,6 +42,7 @@
     remove_expired_members,
 )
 from marlbend.steering.recent_changes import record_changes
+from marlbend.steering.state import observe_time
 from marlbend.wire.heartbeats import (
     Heartbeat,
     TopicChanges,
@@ -82,6 +83,7 @@
     """
     random = node.steering.random
     while True:
+        observe_time(node.steering.local_instance, steady_seconds())
         alone = not node.gossip.members.by_name
         for seed in node.seeds:
             if alone or random.random() < SEED_PROBABILITY:
--- a/marlbend/edge/wiring.py
+++ b/marlbend/edge/wiring.py
@@ -7,15 +7,13 @@
 import asyncio
 import signal
 from collections.abc import Coroutine, Iterator
+from functools import partial
 from random import Random
 from typing import Final
 
-import msgspec
-
 from marlbend import VERSION
 from marlbend.clock import steady_seconds
 from marlbend.edge.decision_log import make_decision_logger
-from marlbend.edge.fetching import make_topic_handlers
 from marlbend.edge.maintenance import run_maintenance
 from marlbend.edge.peers import (
     GossipNode,
@@ -32,11 +30,11 @@
     staleness_limits,
     watch_settings,
 )
-from marlbend.edge.status import describe_instance, render_metrics
+from marlbend.edge.serving import start_servers
+from marlbend.edge.tasks import run_forever
 from marlbend.edge.watch import TopicWatcher, watch_topic
-from marlbend.errors import MarlbendError
 from marlbend.events import Event, emit
-from marlbend.http import Connection, RequestHandler, ServerResponse, serve_http
+from marlbend.http import Connection
 from marlbend.options import CookieSettings, Settings, split_endpoint
 from marlbend.platform.client import parse_url
 from marlbend.platform.header import (
@@ -45,7 +43,6 @@
     make_reset,
 )
 from marlbend.platform.objects import parse_host_number
-from marlbend.platform.paths import READY_PATH
 from marlbend.sockets import (
     make_sender,
     open_socket,
@@ -65,8 +62,8 @@
     Topic,
 )
 from marlbend.steering.members import Member
+from marlbend.steering.state import observe_time
 from marlbend.steering.steer import make_receiver, retry_unanswered_syn
-from marlbend.wire import STATUS_PATH
 from marlbend.wire.heartbeats import MemberUpdate
 
 __all__ = ('serve',)
@@ -74,9 +71,6 @@
 # Routers poll every half second and notice within three polls that an instance
 # is leaving; this is longer than those 1.5 s.
 LEAVE_SECONDS: Final = 2.5
-METRICS_PATH: Final = '/metrics'
-_OK: Final = 200
-_UNAVAILABLE: Final = 503
 
 
 async def serve(
@@ -96,11 +90,9 @@
         path, settings, cookie_settings, node, _make_watchers(settings, node)
     )
     stop = _catch_signals(instance)
-    servers = await _start_servers(instance, stop)
+    servers = await start_servers(instance, stop)
     async with asyncio.TaskGroup() as group:
-        tasks = [
-            group.create_task(coroutine) for coroutine in _list_tasks(instance)
-        ]
+        tasks = [group.create_task(each) for each in _list_tasks(instance)]
         await _shut_down_on_request(stop, instance)
         for task in tasks:
             task.cancel()
@@ -130,7 +122,8 @@
     await stop.wait()
     emit(Event.STOP_REQUESTED)
     node = instance.node
-    # Step down as the elected reader.  A later successful read sets it again.
+    # Step down as the elected reader.
+    node.gossip.is_leaving = True
     node.gossip.myself.can_read = False
     await asyncio.sleep(
         min(LEAVE_SECONDS, instance.cookie_settings.stop_seconds / 2)
@@ -138,65 +131,17 @@
     announce_departure(node)
 
 
-async def _start_servers(
-    instance: RunningInstance,
-    stop: asyncio.Event,
-) -> list[asyncio.Server]:
-    """Start the servers of the readiness, control and metrics endpoints.
-
-    Routers poll the first; other instances and the tool use the second.
-    """
-    cookie_settings = instance.cookie_settings
-    node = instance.node
-
-    def serve_ready(query: str) -> ServerResponse:
-        serving = node.steering.ready and not stop.is_set()
-        return (_OK if serving else _UNAVAILABLE), 'text/plain', b''
-
-    def serve_status(query: str) -> ServerResponse:
-        return (
-            _OK,
-            'application/json',
-            msgspec.json.encode(describe_instance(node)),
-        )
-
-    def serve_metrics(query: str) -> ServerResponse:
-        return render_metrics(
-            node, node.steering.estimates.handshake_times.latencies
-        )
-
-    handlers_by_endpoint: dict[tuple[str, int], dict[str, RequestHandler]] = {
-        split_endpoint(cookie_settings.ready): {READY_PATH: serve_ready},
-        split_endpoint(cookie_settings.control): {
-            **make_topic_handlers(node),
-            STATUS_PATH: serve_status,
-        },
-    }
-    servers = [
-        await serve_http(endpoint, handlers)
-        for endpoint, handlers in handlers_by_endpoint.items()
-    ]
-    try:
-        servers.append(
-            await serve_http(
-                (instance.settings.address, cookie_settings.metrics_port),
-                {METRICS_PATH: serve_metrics},
-            )
-        )
-    except MarlbendError as error:
-        emit(Event.METRICS_UNAVAILABLE, error=error)
-    return servers
-
-
 def _list_tasks(
     instance: RunningInstance,
 ) -> Iterator[Coroutine[None, None, None]]:
     node = instance.node
     for watcher in instance.watchers:
-        yield watch_topic(watcher)
-    yield send_heartbeats(node)
-    yield watch_settings(instance)
-    yield run_maintenance(node)
+        yield run_forever(
+            watcher.topic.name.lower(), partial(watch_topic, watcher)
+        )
+    yield run_forever('heartbeats', partial(send_heartbeats, node))
+    yield run_forever('settings', partial(watch_settings, instance))
+    yield run_forever('maintenance', partial(run_maintenance, node))
 
 
 def _make_watchers(
@@ -304,6 +249,7 @@
 
     def update_time() -> None:
         steering.now = steady_seconds()
+        observe_time(steering.local_instance, steering.now)
 
     start_reading(fabric, receive_datagram, update_time)
     return steering
--- a/marlbend/events.py
+++ b/marlbend/events.py
@@ -70,6 +70,11 @@
         logging.ERROR,
         'metrics endpoint unavailable: {error}',
     )
+    TASK_FAILED = (
+        108,
+        logging.ERROR,
+        'task {name} failed and is started again: {error}',
+    )
     DOMAIN_STATE_CHANGED = (
         210,
         logging.INFO,
--- a/marlbend/steering/gossip.py
+++ b/marlbend/steering/gossip.py
@@ -56,6 +56,7 @@
     'confirm_revision',
     'enter_era',
     'is_applicable',
+    'is_known',
     'is_newer',
     'is_reader',
     'list_live_members',
@@ -116,7 +117,8 @@
     a failed call, both in steady seconds.  Above the age in
     `staleness_limit_by_topic`, in seconds, the instance reads the platform
     directly.  `is_first` is whether this instance was the first by rank at
-    `rank_checked_at`.  `transfers_by_topic` counts the updates.
+    `rank_checked_at`.  An instance that `is_leaving` reads for itself only.
+    `transfers_by_topic` counts the updates.
     """
 
     __slots__ = (
@@ -125,6 +127,7 @@
         'confirmed_at_by_topic',
         'era_by_topic',
         'is_first',
+        'is_leaving',
         'members',
         'myself',
         'rank_checked_at',
@@ -146,6 +149,7 @@
         self.staleness_limit_by_topic = staleness_limit_by_topic
         self.members = Members(myself)
         self.is_first = False
+        self.is_leaving = False
         self.rank_checked_at = float('-inf')
         self.clock = int.from_bytes(os.urandom(_CLOCK_BYTES)) or 1
         self.reader_clocks = ReaderClocks()
@@ -187,6 +191,11 @@
     forget_changes(gossip.recent_changes, topic)
 
 
+def is_known(topic_number: int) -> bool:
+    """Return whether this release has a topic; a later one may have more."""
+    return topic_number in _TOPIC_NUMBERS
+
+
 def is_newer(
     gossip: GossipState, topic: Topic, era: int, revision: int
 ) -> bool:
@@ -316,7 +325,8 @@
     return [
         Topic(reported.topic)
         for reported in heartbeat.topics
-        if _merge_topic(gossip, reported, version, now)
+        if is_known(reported.topic)
+        and _merge_topic(gossip, reported, version, now)
     ]
 
 
@@ -400,3 +410,4 @@
 
 
 _UNKNOWN: Final = Confirmation(0, 0)
+_TOPIC_NUMBERS: Final = frozenset(int(topic) for topic in Topic)
--- a/marlbend/steering/state.py
+++ b/marlbend/steering/state.py
@@ -24,6 +24,7 @@
     'RequestTimes',
     'ResponseSize',
     'Steering',
+    'observe_time',
 )
 
 # A handshake crosses two client links and a hop between domains, which takes
@@ -34,6 +35,8 @@
 # follow after `NEXT_PARTITION_PROBE_DELAY_SECONDS` of `liveness`.
 FIRST_PARTITION_PROBE_DELAY_SECONDS: Final = 0.5
 DEFAULT_LINK_MEGABITS: Final = 100.0
+# Heartbeats are sent four times a second.
+PAUSE_SECONDS: Final = 1.0
 FALSE_SUSPICIONS_KEPT: Final = 8
 # Return time of a failure domain that is out until further notice.
 OUT_INDEFINITELY: Final = float('inf')
@@ -58,6 +61,7 @@
     DROPPED_SEND = 11
     RESET_UNKNOWN = 12
     REFUSED_CROWD = 13
+    DROPPED_RESUMING = 14
 
 
 @final
@@ -250,7 +254,8 @@
     this one.  `false_suspicions` holds the times at which liveness evidence
     most recently contradicted this instance's suspicion of an upstream.
     `budgets` limits its reactions to trouble; whoever knows its link and its
-    processor share replaces it.
+    processor share replaces it.  `observed_at` is when the clock was last read,
+    and `resumed_at` when the process went on after a pause.
     """
 
     __slots__ = (
@@ -259,6 +264,8 @@
         'false_suspicions',
         'live_members',
         'name',
+        'observed_at',
+        'resumed_at',
     )
 
     def __init__(self, name: str, domain: str) -> None:
@@ -270,6 +277,18 @@
         self.false_suspicions: deque[float] = deque(
             maxlen=FALSE_SUSPICIONS_KEPT
         )
+        self.observed_at = float('inf')
+        self.resumed_at = float('-inf')
+
+
+def observe_time(local_instance: LocalInstance, now: float) -> None:
+    """Note that the process runs; detect a pause since the last time.
+
+    It runs several times a second, so a longer gap means that it was held up.
+    """
+    if now - local_instance.observed_at > PAUSE_SECONDS:
+        local_instance.resumed_at = now
+    local_instance.observed_at = now
 
 
 @final
--- a/marlbend/steering/steer.py
+++ b/marlbend/steering/steer.py
@@ -31,7 +31,7 @@
 from marlbend.steering.routes import Route, pick_service
 from marlbend.steering.slow_start import record_new_flow
 from marlbend.steering.state import Flow, Outcome, Steering
-from marlbend.steering.upstreams import Upstream
+from marlbend.steering.upstreams import Upstream, has_given_up
 
 __all__ = ('make_receiver', 'retry_unanswered_syn')
 
@@ -45,8 +45,11 @@
 UNKNOWN_COOKIE_RESET_DELAY_SECONDS: Final = 4.0
 # It is reset only if the list of upstreams was confirmed within this time.
 UPSTREAMS_MAX_AGE_SECONDS: Final = 4.0
-# At this many, all unknown cookies are removed, so the delay of each restarts.
+# Above this number the cookie that was seen first is forgotten.
 MAX_UNKNOWN_COOKIES: Final = 1_000
+# For this long after a pause, heartbeats that waited meanwhile are read.  Until
+# then the instance may not know which upstreams have left, or are cold.
+RESUME_SECONDS: Final = 0.1
 
 
 def make_receiver(steering: Steering) -> Callable[[Packet], None]:
@@ -103,6 +106,10 @@
 
 
 def _open_flow(steering: Steering, packet: Packet, route: Route) -> None:
+    if steering.now - steering.local_instance.resumed_at < RESUME_SECONDS:
+        # The caller sends the SYN again after 0.2 s.
+        steering.counts[Outcome.DROPPED_RESUMING] += 1
+        return
     flow = steering.flow_by_key.get(packet.flow_key)
     if flow is not None and packet.attempt:
         _handle_retransmitted_syn(steering, flow, packet)
@@ -181,7 +188,7 @@
     if upstream.entry.service not in route.services:
         steering.counts[Outcome.DROPPED_FORGED] += 1
         return
-    if upstream.ended_at:
+    if has_given_up(upstream, steering.now):
         _reset_flow(steering, packet, upstream, Outcome.RESET_ENDED)
         return
     flow = steering.flow_by_key.get(packet.flow_key)
@@ -213,9 +220,9 @@
     """
     now = steering.now
     since_by_cookie = steering.unknown_cookie_since
-    if len(since_by_cookie) >= MAX_UNKNOWN_COOKIES:
-        since_by_cookie.clear()
     since = since_by_cookie.setdefault(packet.cookie, now)
+    if len(since_by_cookie) > MAX_UNKNOWN_COOKIES:
+        since_by_cookie.pop(next(iter(since_by_cookie)))
     is_current = (
         now - steering.upstreams_confirmed_at < UPSTREAMS_MAX_AGE_SECONDS
     )
--- a/marlbend/wire/heartbeats.py
+++ b/marlbend/wire/heartbeats.py
@@ -20,10 +20,6 @@
 )
 
 MAX_PORT: Final = 65_535
-# The last value of `marlbend.steering.gossip.Topic`.  A later version may have
-# more topics; a heartbeat that mentions one of those is malformed to this
-# version, and dropped as a whole.
-MAX_TOPIC: Final = 2
 MAX_COUNT: Final = 1_000_000
 # A rank is a 32-bit checksum.
 MAX_RANK: Final = 4_294_967_295
@@ -37,7 +33,8 @@
 _Port = Annotated[int, msgspec.Meta(ge=1, le=MAX_PORT)]
 _Rank = Annotated[int, msgspec.Meta(ge=0, le=MAX_RANK)]
 _Era = Annotated[int, msgspec.Meta(ge=0)]
-_TopicNumber = Annotated[int, msgspec.Meta(ge=0, le=MAX_TOPIC)]
+# A number of `marlbend.steering.gossip.Topic`, or of a later release's.
+_TopicNumber = Annotated[int, msgspec.Meta(ge=0)]
 
 
 @final
