Put what brings topics up to date into one package

Bringing a topic up to date was spread over edge (topics, changes, watch, fetching) and steering (recent_changes, reader_clocks, part of gossip). It is marlbend/topics now: knowledge (which topics there are, era, revision, age), contents and changes (codec and how it is applied), reader and fetching (the two sources), history and reader_clocks. What sends heartbeats stays in edge/peers. GossipState is knowledge with members. No behaviour changes; tests change in their imports alone. Messages are those of before.

--- a/bench/echo.py
+++ b/bench/echo.py
@@ -40,8 +40,10 @@
 from marlbend.http import Connection
 from marlbend.platform.paths import KIND_BY_TOPIC
 from marlbend.sockets import open_socket
-from marlbend.steering.gossip import Topic
 from marlbend.steering.upstreams import derive_cookie
+from marlbend.topics.knowledge import (
+    Topic,
+)
 from marlbend.wire import STATUS_PATH
 from marlbend.wire.status import CookieStatus
 
--- a/marlbend/edge/node.py
+++ b/marlbend/edge/node.py
@@ -5,8 +5,13 @@
 from typing import final
 
 from marlbend.observe.control_traffic import ControlTraffic
-from marlbend.steering.gossip import GossipState, Topic
+from marlbend.steering.gossip import (
+    GossipState,
+)
 from marlbend.steering.state import Steering
+from marlbend.topics.knowledge import (
+    Topic,
+)
 
 __all__ = ('Address', 'GossipNode')
 
--- a/marlbend/edge/peers.py
+++ b/marlbend/edge/peers.py
@@ -1,7 +1,7 @@
 """Exchange heartbeats with other instances.
 
 A UDP socket on the control endpoint carries them.  The same port over TCP
-serves the contents of each topic over HTTP, see `marlbend.edge.fetching`.
+serves the contents of each topic over HTTP, see `marlbend.topics.fetching`.
 """
 
 import asyncio
@@ -11,8 +11,6 @@
 import msgspec
 
 from marlbend.clock import steady_seconds
-from marlbend.edge.changes import apply_peer_changes
-from marlbend.edge.fetching import fetch_topic
 from marlbend.edge.node import Address, GossipNode
 from marlbend.edge.upstream_updates import (
     merge_upstream_updates,
@@ -32,7 +30,6 @@
     spend_any,
 )
 from marlbend.steering.gossip import (
-    Topic,
     make_heartbeat,
     merge_heartbeat,
 )
@@ -41,8 +38,13 @@
     describe_member,
     remove_expired_members,
 )
-from marlbend.steering.recent_changes import record_changes
 from marlbend.steering.state import observe_time
+from marlbend.topics.changes import apply_peer_changes
+from marlbend.topics.fetching import fetch_topic
+from marlbend.topics.history import record_changes
+from marlbend.topics.knowledge import (
+    Topic,
+)
 from marlbend.wire.heartbeats import (
     Heartbeat,
     TopicChanges,
--- a/marlbend/edge/reload.py
+++ b/marlbend/edge/reload.py
@@ -13,7 +13,6 @@
 import msgspec
 
 from marlbend.edge.node import GossipNode
-from marlbend.edge.watch import TopicWatcher
 from marlbend.errors import MarlbendError
 from marlbend.events import Event, emit
 from marlbend.options import (
@@ -24,8 +23,11 @@
 )
 from marlbend.platform.client import parse_url
 from marlbend.steering.budgets import make_budgets
-from marlbend.steering.gossip import Topic
 from marlbend.steering.state import Steering
+from marlbend.topics.knowledge import (
+    Topic,
+)
+from marlbend.topics.reader import TopicWatcher
 
 __all__ = (
     'RunningInstance',
--- a/marlbend/edge/serving.py
+++ b/marlbend/edge/serving.py
@@ -5,7 +5,6 @@
 
 import msgspec
 
-from marlbend.edge.fetching import make_topic_handlers
 from marlbend.edge.node import GossipNode
 from marlbend.edge.reload import RunningInstance
 from marlbend.edge.status import describe_instance, render_metrics
@@ -14,7 +13,10 @@
 from marlbend.http import RequestHandler, ServerResponse, serve_http
 from marlbend.options import split_endpoint
 from marlbend.platform.paths import READY_PATH
-from marlbend.steering.gossip import Topic
+from marlbend.topics.fetching import make_topic_handlers
+from marlbend.topics.knowledge import (
+    Topic,
+)
 from marlbend.wire import STATUS_PATH
 
 __all__ = ('start_servers',)
--- a/marlbend/edge/status.py
+++ b/marlbend/edge/status.py
@@ -13,12 +13,14 @@
 from marlbend.steering.failure_detection import count_busy, is_suspected
 from marlbend.steering.gossip import (
     GossipState,
-    Topic,
     is_reader,
     list_live_members,
 )
 from marlbend.steering.state import Outcome, Steering
 from marlbend.steering.upstreams import Upstream
+from marlbend.topics.knowledge import (
+    Topic,
+)
 from marlbend.wire.status import (
     ControlStatus,
     CookieStatus,
--- a/marlbend/edge/wiring.py
+++ b/marlbend/edge/wiring.py
@@ -32,7 +32,6 @@
 )
 from marlbend.edge.serving import start_servers
 from marlbend.edge.tasks import run_forever
-from marlbend.edge.watch import TopicWatcher, watch_topic
 from marlbend.events import Event, emit
 from marlbend.http import Connection
 from marlbend.options import CookieSettings, Settings, split_endpoint
@@ -59,11 +58,14 @@
 )
 from marlbend.steering.gossip import (
     GossipState,
-    Topic,
 )
 from marlbend.steering.members import Member
 from marlbend.steering.state import observe_time
 from marlbend.steering.steer import make_receiver, retry_unanswered_syn
+from marlbend.topics.knowledge import (
+    Topic,
+)
+from marlbend.topics.reader import TopicWatcher, watch_topic
 from marlbend.wire.heartbeats import MemberUpdate
 
 __all__ = ('serve',)
--- a/marlbend/test/edge.py
+++ b/marlbend/test/edge.py
@@ -10,21 +10,26 @@
 from bench.platform import STORE_KEY, make_application
 from bench.store import Store, put_object
 from marlbend.clock import steady_seconds
-from marlbend.edge.fetching import make_topic_handlers
 from marlbend.edge.node import GossipNode
 from marlbend.edge.peers import (
     make_announcer,
     receive_heartbeat,
     send_heartbeats,
 )
-from marlbend.edge.watch import TopicWatcher, watch_topic
 from marlbend.http import Connection, serve_http
 from marlbend.sockets import make_sender, open_socket, start_reading_with_sender
 from marlbend.steering import Callbacks, LocalInstance, Steering
-from marlbend.steering.gossip import GossipState, Topic
+from marlbend.steering.gossip import (
+    GossipState,
+)
 from marlbend.steering.members import Member
-from marlbend.steering.recent_changes import record_changes
 from marlbend.test.links import Link, start_link
+from marlbend.topics.fetching import make_topic_handlers
+from marlbend.topics.history import record_changes
+from marlbend.topics.knowledge import (
+    Topic,
+)
+from marlbend.topics.reader import TopicWatcher, watch_topic
 from marlbend.wire.heartbeats import MemberUpdate, TopicChanges
 
 __all__ = ('Fleet', 'Instance', 'run_with_fleet', 'wait_until')
--- a/marlbend/test/simulation.py
+++ b/marlbend/test/simulation.py
@@ -15,7 +15,6 @@
 
 import msgspec
 
-from marlbend.edge.changes import apply_peer_changes
 from marlbend.edge.node import GossipNode
 from marlbend.edge.peers import (
     receive_heartbeat,
@@ -36,11 +35,17 @@
 )
 from marlbend.steering.budgets import make_budgets
 from marlbend.steering.flows import expire_flows
-from marlbend.steering.gossip import GossipState, Topic
+from marlbend.steering.gossip import (
+    GossipState,
+)
 from marlbend.steering.members import Member, merge_member
 from marlbend.steering.steer import make_receiver, retry_unanswered_syn
 from marlbend.steering.upstreams import register_upstream
 from marlbend.test.steering import make_entry
+from marlbend.topics.changes import apply_peer_changes
+from marlbend.topics.knowledge import (
+    Topic,
+)
 from marlbend.wire.heartbeats import MemberUpdate, TopicChanges
 
 __all__ = ('FleetSimulation',)
@@ -422,7 +427,7 @@
     """Replace the steady clock where heartbeats are made and received."""
     with (
         mock.patch('marlbend.edge.peers.steady_seconds', read),
-        mock.patch('marlbend.edge.changes.steady_seconds', read),
-        mock.patch('marlbend.edge.topics.steady_seconds', read),
+        mock.patch('marlbend.topics.changes.steady_seconds', read),
+        mock.patch('marlbend.topics.contents.steady_seconds', read),
     ):
         yield
--- a/marlbend/test/test_edge.py
+++ b/marlbend/test/test_edge.py
@@ -12,11 +12,9 @@
 from marlbend.edge.maintenance import restore_domains
 from marlbend.edge.node import GossipNode
 from marlbend.edge.peers import receive_heartbeat
-from marlbend.edge.watch import TopicWatcher, watch_topic
 from marlbend.http import Connection
 from marlbend.steering.gossip import (
     GossipState,
-    Topic,
 )
 from marlbend.steering.liveness import record_unanswered
 from marlbend.steering.members import Member
@@ -30,6 +28,10 @@
     wait_until,
 )
 from marlbend.test.steering import SteeringDriver
+from marlbend.topics.knowledge import (
+    Topic,
+)
+from marlbend.topics.reader import TopicWatcher, watch_topic
 from marlbend.wire.heartbeats import (
     Heartbeat,
     MemberUpdate,
--- a/marlbend/test/test_gossip.py
+++ b/marlbend/test/test_gossip.py
@@ -6,23 +6,25 @@
 import msgspec
 
 from marlbend.clock import steady_seconds
-from marlbend.edge.changes import apply_peer_changes, encode_changes
 from marlbend.platform.objects import StoredObject
 from marlbend.steering import Callbacks, LocalInstance, Steering
 from marlbend.steering.gossip import (
     GossipState,
-    Topic,
-    confirm_revision,
     make_heartbeat,
     merge_heartbeat,
 )
 from marlbend.steering.members import Member
-from marlbend.steering.recent_changes import (
+from marlbend.test.edge import make_registration
+from marlbend.topics.changes import apply_peer_changes, encode_changes
+from marlbend.topics.history import (
     list_fresh_changes,
     list_since,
     record_changes,
 )
-from marlbend.test.edge import make_registration
+from marlbend.topics.knowledge import (
+    Topic,
+    confirm_revision,
+)
 from marlbend.wire.heartbeats import (
     Heartbeat,
     MemberLastSeen,
--- a/marlbend/test/test_overload.py
+++ b/marlbend/test/test_overload.py
@@ -10,16 +10,18 @@
 import pytest
 
 from marlbend.clock import steady_seconds
-from marlbend.edge.watch import (
-    FLEET_RETRIES_PER_SECOND,
-    TopicWatcher,
-    find_retry_delay,
-)
 from marlbend.http import Connection
 from marlbend.observe.control_traffic import Cause
-from marlbend.steering.gossip import Topic
 from marlbend.steering.members import merge_member
 from marlbend.test.simulation import FleetSimulation
+from marlbend.topics.knowledge import (
+    Topic,
+)
+from marlbend.topics.reader import (
+    FLEET_RETRIES_PER_SECOND,
+    TopicWatcher,
+    find_retry_delay,
+)
 from marlbend.wire.heartbeats import MemberUpdate
 
 LINK_BYTES_PER_SECOND: Final = 1_250_000
--- a/marlbend/test/test_propagation.py
+++ b/marlbend/test/test_propagation.py
@@ -10,13 +10,10 @@
 from bench.store import Faults, set_faults
 from marlbend.clock import steady_seconds
 from marlbend.edge.reload import STALENESS_SHARE
-from marlbend.edge.topics import decode_topic
-from marlbend.edge.watch import LIST_TIMEOUT_SECONDS
 from marlbend.http import Connection
 from marlbend.ownership.watch import watch_object
 from marlbend.platform.client import PlatformClient
 from marlbend.steering.documents import Publication, RouteSpec, ServiceLimits
-from marlbend.steering.gossip import Topic
 from marlbend.steering.routes import change_publication, compare_publications
 from marlbend.test.edge import (
     STALENESS_LIMIT_SECONDS,
@@ -27,6 +24,11 @@
     wait_until,
 )
 from marlbend.test.links import Link, start_link
+from marlbend.topics.contents import decode_topic
+from marlbend.topics.knowledge import (
+    Topic,
+)
+from marlbend.topics.reader import LIST_TIMEOUT_SECONDS
 from marlbend.wire.compression import MAX_BYTES, compress, decompress
 
 # The users' target for a change of the configuration on grown deployments.
--- a/marlbend/test/test_transfers.py
+++ b/marlbend/test/test_transfers.py
@@ -2,8 +2,10 @@
 
 from marlbend.edge.status import render_metrics
 from marlbend.observe.latency import LatencyHistogram
-from marlbend.steering.gossip import Topic
 from marlbend.test.edge import Fleet, run_with_fleet, wait_until
+from marlbend.topics.knowledge import (
+    Topic,
+)
 
 
 def test_reads_and_fetches_are_counted_by_topic() -> None:
--- a/marlbend/edge/changes.py
+++ b/marlbend/topics/changes.py
@@ -12,11 +12,6 @@
 import msgspec
 
 from marlbend.clock import steady_seconds
-from marlbend.edge.topics import (
-    apply_domain_states,
-    apply_publication,
-    apply_upstream_entries,
-)
 from marlbend.events import Event, emit
 from marlbend.platform.objects import (
     ObjectChange,
@@ -30,15 +25,22 @@
 )
 from marlbend.steering.gossip import (
     GossipState,
+)
+from marlbend.steering.routes import change_publication, compare_publications
+from marlbend.steering.state import Steering
+from marlbend.topics.contents import (
+    apply_domain_states,
+    apply_publication,
+    apply_upstream_entries,
+)
+from marlbend.topics.history import record_changes
+from marlbend.topics.knowledge import (
     Topic,
     is_applicable,
     is_known,
     is_newer,
     update_revision,
 )
-from marlbend.steering.recent_changes import record_changes
-from marlbend.steering.routes import change_publication, compare_publications
-from marlbend.steering.state import Steering
 from marlbend.wire.compression import compress, decompress
 from marlbend.wire.heartbeats import TopicChanges
 
--- a/marlbend/edge/fetching.py
+++ b/marlbend/topics/fetching.py
@@ -10,14 +10,7 @@
 import msgspec
 
 from marlbend.clock import steady_seconds
-from marlbend.edge.changes import apply_peer_changes
 from marlbend.edge.node import Address, GossipNode
-from marlbend.edge.topics import (
-    apply_topic,
-    decode_topic,
-    encode_topic,
-    log_return,
-)
 from marlbend.errors import MarlbendError
 from marlbend.events import Event, emit
 from marlbend.http import (
@@ -33,15 +26,24 @@
 )
 from marlbend.steering.budgets import spend_any
 from marlbend.steering.gossip import (
-    Confirmation,
     GossipState,
+)
+from marlbend.steering.members import age_in_milliseconds
+from marlbend.topics.changes import apply_peer_changes
+from marlbend.topics.contents import (
+    apply_topic,
+    decode_topic,
+    encode_topic,
+    log_return,
+)
+from marlbend.topics.history import list_since
+from marlbend.topics.knowledge import (
+    Confirmation,
     Topic,
     confirm_revision,
     enter_era,
     update_revision,
 )
-from marlbend.steering.members import age_in_milliseconds
-from marlbend.steering.recent_changes import list_since
 from marlbend.wire.compression import compress, decompress
 from marlbend.wire.heartbeats import TopicChanges
 
--- a/marlbend/edge/watch.py
+++ b/marlbend/topics/reader.py
@@ -18,12 +18,6 @@
 
 from marlbend import error_messages
 from marlbend.clock import steady_seconds
-from marlbend.edge.changes import encode_changes, encode_publication_change
-from marlbend.edge.topics import (
-    apply_list,
-    apply_object_changes,
-    log_return,
-)
 from marlbend.errorcodes import ErrorKind
 from marlbend.errors import MarlbendError
 from marlbend.events import Event, emit
@@ -44,16 +38,24 @@
 from marlbend.steering.documents import Publication
 from marlbend.steering.gossip import (
     GossipState,
+    list_live_members,
+    should_read_platform,
+)
+from marlbend.steering.state import Steering
+from marlbend.steering.upstreams import has_missing
+from marlbend.topics.changes import encode_changes, encode_publication_change
+from marlbend.topics.contents import (
+    apply_list,
+    apply_object_changes,
+    log_return,
+)
+from marlbend.topics.knowledge import (
     Topic,
     confirm_revision,
     enter_era,
-    list_live_members,
     record_recovery,
-    should_read_platform,
     update_revision,
 )
-from marlbend.steering.state import Steering
-from marlbend.steering.upstreams import has_missing
 from marlbend.wire.heartbeats import TopicChanges
 
 __all__ = ('TopicWatcher', 'find_retry_delay', 'watch_topic')
