Keep the configuration on a plain fabric when the store comes back from a copy

A watcher on a plain fabric ignored all versions until the revisions of the store had passed those before its return, and the copy's content would then have come into force. Versions are ordered by (era, revision) now, in one number that is the revision in the first era, so that pings carry it as before. After a return the last content stays in force under the number of the copy's version, until another one is written. An instance that starts in that time has the copy's. Test: test_watched_object_does_not_go_back_on_a_plain_fabric.

--- a/marlbend/ownership/daemon/sync.py
+++ b/marlbend/ownership/daemon/sync.py
@@ -86,7 +86,7 @@
         emit(Event.CONFIG_REJECTED, error=error)
         return
     if stored.revision:
-        activate_configuration(instance, stored.revision, document)
+        activate_configuration(instance, stored.version, document)
 
 
 def apply_stored_instances(instance: Instance, stored: VersionedBody) -> None:
--- a/marlbend/ownership/watch.py
+++ b/marlbend/ownership/watch.py
@@ -1,7 +1,8 @@
 """Watch one object of the platform for as long as the daemon runs.
 
 The platform may be down or slow, a watch may stop without notice and a read
-may be stale.  Therefore a watch has its own timeout, failures are retried with
+may be stale.  The store may come back from a copy that lacks the last changes.
+Therefore a watch has its own timeout, failures are retried with
 exponential backoff and jitter, and an object is ignored unless its version is
 newer than the last one.
 """
@@ -11,6 +12,8 @@
 from random import Random
 from typing import Final, final
 
+import msgspec
+
 from marlbend.errors import MarlbendError
 from marlbend.events import Event, emit
 from marlbend.platform.client import PlatformClient, VersionedBody
@@ -25,14 +28,17 @@
 class _WatchState:
     """Hold the last version seen and the current retry delay.
 
-    `is_behind` is set while versions come faster than they are read.  A watch
-    returns each of them in full; a read returns only the last one.
+    `last` is the last one passed on, and `seen` the last one of the store; they
+    differ after the store has come back from a copy.  `is_behind` is set while
+    versions come faster than they are read.  A watch returns each of them in
+    full; a read returns only the last one.
     """
 
-    __slots__ = ('backoff_seconds', 'is_behind', 'version')
+    __slots__ = ('backoff_seconds', 'is_behind', 'last', 'seen')
 
     def __init__(self) -> None:
-        self.version = 0
+        self.last = VersionedBody(0)
+        self.seen = VersionedBody(0)
         self.is_behind = False
         self.backoff_seconds: float = 0
 
@@ -65,11 +71,13 @@
     state: _WatchState,
 ) -> VersionedBody | None:
     if not state.is_behind:
-        stored = await platform.watch(*path, after=state.version)
+        stored = await platform.watch(
+            *path, after=state.seen.revision, era=state.seen.era
+        )
         state.is_behind = stored is not None and stored.superseded > 0
         return stored
     current = await platform.read(*path)
-    state.is_behind = current.revision > state.version
+    state.is_behind = current.version > state.seen.version
     # Without a later version, the next watch waits for one.
     return current if state.is_behind else None
 
@@ -81,9 +89,22 @@
 ) -> bool:
     if stored is None:
         return True
-    if stored.revision <= state.version:
+    if stored.version <= state.seen.version:
         return False
-    state.version = stored.revision
+    has_returned = stored.era > state.seen.era and state.last.revision > 0
+    state.seen = stored
+    if has_returned:
+        # The copy may lack the last change, which stays in force under the
+        # number of the copy's version until another one is written.
+        emit(
+            Event.STORE_RETURNED,
+            era=stored.era,
+            kind='object',
+            revision=stored.revision,
+            known=state.last.revision,
+        )
+        stored = msgspec.structs.replace(stored, body=state.last.body)
+    state.last = stored
     on_change(stored)
     return True
 
--- a/marlbend/platform/client.py
+++ b/marlbend/platform/client.py
@@ -41,6 +41,8 @@
 _NOT_FOUND: Final = 404
 _CONFLICT: Final = 409
 _GONE: Final = 410
+# More changes than a store makes in one era.
+_REVISION_BITS: Final = 40
 _SERVER_ERROR: Final = 500
 _MILLISECONDS_PER_SECOND: Final = 1000
 _ERA_HEADER: Final = 'store-era'
@@ -64,12 +66,22 @@
     """Hold the body of an object and its revision.
 
     Revision zero means that the object does not exist.  `superseded` is how
-    many earlier versions a watch returned with this one.
+    many earlier versions a watch returned with this one.  `era` is that of the
+    store.
     """
 
     revision: int
     body: msgspec.Raw = msgspec.Raw(b'null')
     superseded: int = 0
+    era: int = 0
+
+    @property
+    def version(self) -> int:
+        """Return a number that rises with era and revision.
+
+        In the first era, it is the revision.
+        """
+        return (max(self.era - 1, 0) << _REVISION_BITS) + self.revision
 
 
 class WriteResult(msgspec.Struct, frozen=True):
@@ -120,13 +132,15 @@
         kind: str,
         name: str,
         after: int,
+        era: int = 0,
     ) -> VersionedBody | None:
         """Wait for a revision after `after`; return `None` if none arrives.
 
         With `after` zero, return the object at once if it exists.  If the
-        platform no longer has the changes after `after`, return the current
-        body whatever its revision, which is zero if there is no such object.
-        The deletion of an object is not reported.
+        platform no longer has the changes after `after`, or has come back from
+        a copy since the era of `after`, return the current body whatever its
+        revision, which is zero if there is no such object.  The deletion of an
+        object is not reported.
         """
         if not after:
             current = await self.read(kind, name)
@@ -136,10 +150,10 @@
         wait_ms = int(WATCH_SECONDS * _MILLISECONDS_PER_SECOND)
         path = f'/api/objects/{kind}?watch={after}&wait_ms={wait_ms}'
         response = await self._request('GET', path, wait_seconds=WATCH_SECONDS)
-        if response.status == _GONE:
+        if response.status == _GONE or (era and read_era(response) > era):
             return await self.read(kind, name)
         changes, _ = decode_changes(expect_status(response, self.url, _OK).body)
-        return _find_last_version(changes, name)
+        return _find_last_version(changes, name, read_era(response))
 
     async def write(
         self,
@@ -218,7 +232,7 @@
 
 
 def _find_last_version(
-    changes: list[ObjectChange], name: str
+    changes: list[ObjectChange], name: str, era: int
 ) -> VersionedBody | None:
     versions = [
         stored
@@ -228,12 +242,12 @@
     if not versions:
         return None
     last = versions[-1]
-    return VersionedBody(last.meta.rev, last.spec, len(versions) - 1)
+    return VersionedBody(last.meta.rev, last.spec, len(versions) - 1, era)
 
 
 def _decode_body(response: ClientResponse, url: str) -> VersionedBody:
     if response.status == _NOT_FOUND:
-        return VersionedBody(0)
+        return VersionedBody(0, era=read_era(response))
     expect_status(response, url, _OK, _CREATED, _CONFLICT)
     try:
         stored = msgspec.json.decode(response.body, type=StoredObject)
@@ -244,4 +258,4 @@
                 name='object', reason=error
             ),
         ) from None
-    return VersionedBody(stored.meta.rev, stored.spec)
+    return VersionedBody(stored.meta.rev, stored.spec, era=read_era(response))
