--- a/marlbend/test/test_files.py
+++ b/marlbend/test/test_files.py
@@ -4,9 +4,11 @@
 """
 
 import pathlib
+import tomllib
 
 import pytest
 
+from bench.pairs import draw_day
 from marlbend.config import collect_services
 from marlbend.errors import MarlbendError
 from marlbend.options import load_settings
@@ -51,3 +53,11 @@
         str(each).replace(f'{tmp_path}/', '') for each in problems
     )
     assert reported == case.lines_of('out')
+
+
+def test_drawn_days_are_valid_and_deterministic() -> None:
+    for seed in range(200):
+        text = draw_day(seed)
+        day = tomllib.loads(text)
+        assert text == draw_day(seed)
+        assert len(day['plan']) + len(day['faults']) >= 4
--- a/marlbend/test/test_reports.py
+++ b/marlbend/test/test_reports.py
@@ -10,28 +10,31 @@
 import msgspec
 import pytest
 
+from bench.fuzz import feed_decoders
 from marlbend.clock import steady_seconds
 from marlbend.config import UpstreamSpec
-from marlbend.edge.fetching import make_topic_handlers
 from marlbend.edge.node import GossipNode
 from marlbend.edge.peers import receive_heartbeat
 from marlbend.edge.tasks import run_forever
-from marlbend.edge.topics import decode_topic, encode_topic
 from marlbend.edge.upstream_updates import updates_for_local_domain
-from marlbend.edge.watch import TopicWatcher, watch_topic
 from marlbend.errors import MarlbendError
 from marlbend.hashing import HASH_BITS, rendezvous_score
 from marlbend.http import Connection
 from marlbend.ownership.daemon.loads import count_loads
 from marlbend.ownership.packets.header import RST
 from marlbend.steering.budgets import make_budgets
-from marlbend.steering.gossip import Topic
 from marlbend.steering.state import OUT_INDEFINITELY
 from marlbend.steering.steer import MAX_UNKNOWN_COOKIES
 from marlbend.steering.upstreams import register_upstream
 from marlbend.test.edge import Fleet, run_with_fleet, wait_until
 from marlbend.test.network import SERVICE, Network
 from marlbend.test.steering import SteeringDriver, make_entry
+from marlbend.topics.contents import decode_topic, encode_topic
+from marlbend.topics.fetching import make_topic_handlers
+from marlbend.topics.knowledge import (
+    Topic,
+)
+from marlbend.topics.reader import TopicWatcher, watch_topic
 from marlbend.wire.heartbeats import (
     Heartbeat,
     MemberUpdate,
@@ -254,6 +257,11 @@
     asyncio.run(scenario())
 
 
+def test_mutated_bytes_raise_only_documented_errors() -> None:
+    report = feed_decoders(seed=2, inputs=40_000)
+    assert not report.errors
+
+
 def test_random_heartbeats_raise_nothing() -> None:
     async def scenario(fleet: Fleet) -> None:
         instance = await fleet.add('n1')
