Use ejected upstreams before refusing idempotent flows in an overload

Now a flow that would be refused goes to the least loaded ejected upstream that is not overloaded, if its requests may be repeated: a failure costs the caller what a refusal does. Others are refused as before.

--- a/marlbend/steering/choice.py
+++ b/marlbend/steering/choice.py
@@ -14,7 +14,7 @@
 from marlbend.steering.state import Steering
 from marlbend.steering.upstreams import Upstream
 
-__all__ = ('choose_upstream',)
+__all__ = ('choose_ejected', 'choose_upstream')
 
 # By how many requests in progress per slot the local domain may be busier.
 REMOTE_PENALTY: Final = 1.0
@@ -40,11 +40,30 @@
     usable = exclude_ejected(steering, list(_find_usable(steering, service)))
     untried = [each for each in usable if each not in tried]
     unsuspected = [each for each in untried if not is_suspected(steering, each)]
-    candidates = unsuspected or untried or usable
-    if not candidates:
-        return None
+    return _find_least_loaded(steering, unsuspected or untried or usable)
+
+
+def choose_ejected(steering: Steering, service: str) -> Upstream | None:
+    """Return the best ejected upstream, or `None` if there is none.
+
+    Designed for overload, in which upstreams shed requests, which looks like
+    failing, and are ejected: then the others get more, and shed more as well.
+    """
+    now = steering.now
+    ejected = [
+        each
+        for each in _find_usable(steering, service)
+        if now < each.outlier_state.ejected_until
+        and not is_suspected(steering, each)
+    ]
+    return _find_least_loaded(steering, ejected)
+
+
+def _find_least_loaded(
+    steering: Steering, candidates: list[Upstream]
+) -> Upstream | None:
     loads = {each.name: _compute_load(steering, each) for each in candidates}
-    return min(candidates, key=lambda each: loads[each.name])
+    return min(candidates, key=lambda each: loads[each.name], default=None)
 
 
 def _find_usable(steering: Steering, service: str) -> Iterator[Upstream]:
--- a/marlbend/steering/steer.py
+++ b/marlbend/steering/steer.py
@@ -12,7 +12,7 @@
 from typing import Final
 
 from marlbend.steering.budgets import spend
-from marlbend.steering.choice import choose_upstream
+from marlbend.steering.choice import choose_ejected, choose_upstream
 from marlbend.steering.failure_detection import is_presumed_dead
 from marlbend.steering.flows import (
     add_flow,
@@ -120,11 +120,28 @@
     if upstream is None:
         _reset_without_upstream(steering, packet, Outcome.REFUSED_NO_UPSTREAM)
     elif is_overloaded(steering, route.spec, upstream):
-        _reset_without_upstream(steering, packet, Outcome.REFUSED_CROWD)
+        _use_ejected_or_refuse(steering, packet, route, service)
     else:
         _start_flow(steering, packet, upstream)
 
 
+def _use_ejected_or_refuse(
+    steering: Steering, packet: Packet, route: Route, service: str
+) -> None:
+    """Try an ejected upstream before refusing a flow in an overload.
+
+    If it fails, the caller of an idempotent request repeats it, as after a
+    refusal.  Any other request is refused, so that it does not fail midway.
+    """
+    ejected = None
+    if route.spec.repeatable:
+        ejected = choose_ejected(steering, service)
+    if ejected is None or is_overloaded(steering, route.spec, ejected):
+        _reset_without_upstream(steering, packet, Outcome.REFUSED_CROWD)
+    else:
+        _start_flow(steering, packet, ejected)
+
+
 def _start_flow(
     steering: Steering,
     packet: Packet,
--- a/marlbend/test/simulation.py
+++ b/marlbend/test/simulation.py
@@ -7,6 +7,7 @@
 """
 
 import heapq
+from collections import deque
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from random import Random
@@ -53,6 +54,8 @@
 START: Final = 1000.0
 SERVICE: Final = 'catalog'
 CONTROL_PORT: Final = 6071
+# Port 443 of 198.18.0.1.
+ROUTE_ENDPOINT: Final = bytes((1, 187, 198, 18, 0, 1))
 HEARTBEAT_SECONDS: Final = 0.25
 MAINTENANCE_SECONDS: Final = 0.5
 # A link drops what would have to wait longer than this.
@@ -63,6 +66,11 @@
 REQUEST_BYTES: Final = 944
 CALLER_SECONDS: Final = 0.003
 UPSTREAM_SECONDS: Final = 0.0002
+TARGET_SECONDS: Final = 0.55
+RESPONSE_BYTES: Final = 2000
+SHED_BYTES: Final = 120
+# How many requests an upstream queues.
+QUEUE_LIMIT: Final = 60
 SERVICE_SECONDS: Final = 0.5
 BATCH_SECONDS: Final = 0.3
 SYN_RETRANSMISSIONS: Final = (0.2, 0.6)
@@ -91,6 +99,15 @@
         return self.free_at
 
 
+@final
+class SimulatedUpstream:
+    """Hold the requests of an upstream that sheds what it cannot queue."""
+
+    def __init__(self) -> None:
+        self.busy = 0
+        self.queue: deque[Action] = deque()
+
+
 @final
 class SimulatedFlow:
     """Hold the caller's side of a flow."""
@@ -200,7 +217,9 @@
 
     `answered_by_second` maps each second of the simulation to the results of
     the flows whose first SYN was sent in it: whether the handshake completed
-    before the caller sent the SYN again.
+    before the caller sent the SYN again.  `served_by_second` counts the
+    requests that were not shed.  With `slots` zero, upstreams serve any number
+    of requests at once.
     """
 
     def __init__(self, seed: int, instances_by_domain: dict[str, int]) -> None:
@@ -210,10 +229,13 @@
         self.event_count = 0
         self.instances: list[SimulatedInstance] = []
         self.dark: set[str] = set()
+        self.slots = 0
+        self.service_seconds = SERVICE_SECONDS
+        self.upstream_by_name: dict[str, SimulatedUpstream] = {}
+        self.served_by_second: dict[int, int] = {}
         self.revision = 1
         self.flow_by_key: dict[bytes, SimulatedFlow] = {}
         self.answered_by_second: dict[int, list[bool]] = {}
-        self.endpoint = b'\x01\xbb' + bytes((198, 18, 0, 1))
         self.instances_by_domain = instances_by_domain
         self.instance_by_endpoint: dict[tuple[str, int], SimulatedInstance] = {}
 
@@ -297,10 +319,38 @@
                 lambda: self._complete_handshake(instance, flow, upstream),
             )
         elif packet.payload_size:
-            self.schedule(
-                SERVICE_SECONDS + CALLER_SECONDS,
-                lambda: self._close(instance, flow),
-            )
+            self._serve(instance, flow, upstream.name)
+
+    def _serve(
+        self, instance: SimulatedInstance, flow: SimulatedFlow, name: str
+    ) -> None:
+        """Start a request, queue it, or shed it with a short response."""
+        upstream = self.upstream_by_name.setdefault(name, SimulatedUpstream())
+
+        def start() -> None:
+            upstream.busy += 1
+            self.schedule(self.service_seconds, end)
+
+        def end() -> None:
+            upstream.busy -= 1
+            second = int(self.now - START)
+            served = self.served_by_second.get(second, 0)
+            self.served_by_second[second] = served + 1
+            self._respond(instance, flow, RESPONSE_BYTES)
+            if upstream.queue:
+                upstream.queue.popleft()()
+
+        if not self.slots or upstream.busy < self.slots:
+            start()
+        elif len(upstream.queue) < QUEUE_LIMIT:
+            upstream.queue.append(start)
+        else:
+            self._respond(instance, flow, SHED_BYTES)
+
+    def _respond(
+        self, instance: SimulatedInstance, flow: SimulatedFlow, size: int
+    ) -> None:
+        self.schedule(CALLER_SECONDS, lambda: self._close(instance, flow, size))
 
     def _complete_handshake(
         self,
@@ -317,11 +367,13 @@
         )
         self.schedule(CALLER_SECONDS, lambda: instance.receive_packet(request))
 
-    def _close(self, instance: SimulatedInstance, flow: SimulatedFlow) -> None:
+    def _close(
+        self, instance: SimulatedInstance, flow: SimulatedFlow, size: int
+    ) -> None:
         packet = flow.make_packet(
             cookie=flow.cookie,
             sequence=1 + REQUEST_BYTES,
-            acknowledged=2000,
+            acknowledged=size,
             is_closing=True,
         )
         instance.receive_packet(packet)
@@ -339,12 +391,15 @@
         steering.local_instance.live_members = tuple(
             (other.member.name, other.member.domain) for other in self.instances
         )
-        spec = RouteSpec('route', self.endpoint, ((SERVICE, 1),), True)
+        spec = RouteSpec(
+            'route', ROUTE_ENDPOINT, ((SERVICE, 1),), True, TARGET_SECONDS
+        )
         update_routes(steering.routes, Publication(1, (spec,), {}), self.now)
         domains = tuple(self.instances_by_domain)
         for number in range(upstream_count):
             domain = domains[number % len(domains)]
-            entry = make_entry(f'h-{number:04x}', SERVICE, domain)
+            slots = (f'slots={self.slots}',) if self.slots else ()
+            entry = make_entry(f'h-{number:04x}', SERVICE, domain, slots)
             register_upstream(steering.pool, entry, self.now)
         steering.upstreams_known = True
         steering.upstreams_confirmed_at = self.now
@@ -388,7 +443,7 @@
     def _make_caller(self, instance: SimulatedInstance) -> Action:
         def open_flow() -> None:
             key = self.random.randbytes(12)
-            flow = SimulatedFlow(key, self.endpoint, self.now)
+            flow = SimulatedFlow(key, ROUTE_ENDPOINT, self.now)
             self.flow_by_key[key] = flow
             self._send_syn(instance, flow, 0)
             for attempt, seconds in enumerate(SYN_RETRANSMISSIONS, 1):
--- a/marlbend/test/test_overload.py
+++ b/marlbend/test/test_overload.py
@@ -25,6 +25,7 @@
 from marlbend.wire.heartbeats import MemberUpdate
 
 LINK_BYTES_PER_SECOND: Final = 1_250_000
+SERVICE_SECONDS: Final = 0.04
 UPSTREAM_NAMES: Final = tuple(f'h-{number:04x}' for number in range(300))
 
 
@@ -60,6 +61,30 @@
         assert urgent_bytes < 0.05 * LINK_BYTES_PER_SECOND * outage_seconds
 
 
+def test_overload_does_not_leave_ejected_upstreams_without_flows() -> None:
+    """Half of the upstreams were ejected, since they shed load before."""
+    simulation = FleetSimulation(1, {'a': 14})
+    simulation.slots = 2
+    simulation.service_seconds = SERVICE_SECONDS
+    simulation.start(20, LINK_BYTES_PER_SECOND)
+    simulation.open_flows(20, until=3)
+    simulation.schedule(3, lambda: eject(simulation, 10))
+    simulation.schedule(3, lambda: simulation.open_flows(100, until=4))
+    simulation.run(until=9)
+    capacity = 20 * simulation.slots / SERVICE_SECONDS
+    served = [simulation.served_by_second[second] for second in (4, 5, 6)]
+    assert min(served) > 0.9 * capacity
+
+
+def eject(simulation: FleetSimulation, count: int) -> None:
+    """Eject some upstreams at all instances, for longer than the test."""
+    for instance in simulation.instances:
+        names = sorted(instance.steering.pool.by_name)[:count]
+        for name in names:
+            upstream = instance.steering.pool.by_name[name]
+            upstream.outlier_state.ejected_until = simulation.now + 60
+
+
 @pytest.mark.parametrize('count', (8, 60, 300, 1000))
 def test_retries_at_the_store_do_not_grow_with_the_fleet(count: int) -> None:
     simulation = FleetSimulation(1, {'a': 1})
