--- a/marlbend/edge/serving.py
+++ b/marlbend/edge/serving.py
@@ -19,7 +19,7 @@
 )
 from marlbend.wire import STATUS_PATH
 
-__all__ = ('start_servers',)
+__all__ = ('is_ready', 'start_servers')
 
 METRICS_PATH: Final = '/metrics'
 _OK: Final = 200
@@ -38,7 +38,7 @@
     node = instance.node
 
     def serve_ready(query: str) -> ServerResponse:
-        serving = _is_ready(node) and not stop.is_set()
+        serving = is_ready(node) and not stop.is_set()
         return (_OK if serving else _UNAVAILABLE), 'text/plain', b''
 
     def serve_status(query: str) -> ServerResponse:
@@ -76,7 +76,7 @@
     return servers
 
 
-def _is_ready(node: GossipNode) -> bool:
+def is_ready(node: GossipNode) -> bool:
     """Return whether all topics are known.
 
     Without the domains out, new flows could go to one of them.
--- a/marlbend/test/test_reports.py
+++ b/marlbend/test/test_reports.py
@@ -15,6 +15,7 @@
 from marlbend.config import UpstreamSpec
 from marlbend.edge.node import GossipNode
 from marlbend.edge.peers import receive_heartbeat
+from marlbend.edge.serving import is_ready
 from marlbend.edge.tasks import run_forever
 from marlbend.edge.upstream_updates import updates_for_local_domain
 from marlbend.errors import MarlbendError
@@ -123,6 +124,16 @@
     run_with_fleet(scenario)
 
 
+def test_instance_is_not_ready_before_it_knows_the_domains_out() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        instance = await fleet.add('n1')
+        await wait_until(lambda: is_ready(instance.node))
+        instance.gossip.revision_by_topic[Topic.DOMAINS_OUT] = 0
+        assert not is_ready(instance.node)
+
+    run_with_fleet(scenario)
+
+
 def test_domain_that_is_back_is_not_sent_as_out() -> None:
     steering = SteeringDriver().steering
     steering.domains_out = {'b': OUT_INDEFINITELY, 'c': steady_seconds()}
