--- a/bench/echo.py
+++ b/bench/echo.py
@@ -41,9 +41,7 @@
 from marlbend.platform.paths import KIND_BY_TOPIC
 from marlbend.sockets import open_socket
 from marlbend.steering.upstreams import derive_cookie
-from marlbend.topics.knowledge import (
-    Topic,
-)
+from marlbend.topics.knowledge import Topic
 from marlbend.wire import STATUS_PATH
 from marlbend.wire.status import CookieStatus
 
--- a/marlbend/edge/maintenance.py
+++ b/marlbend/edge/maintenance.py
@@ -17,15 +17,11 @@
 from marlbend.observe.control_traffic import Cause, ControlTraffic
 from marlbend.steering import Steering
 from marlbend.steering.flows import expire_flows
-from marlbend.steering.gossip import (
-    list_live_members,
-)
+from marlbend.steering.gossip import list_live_members
 from marlbend.steering.upstreams import expire_upstreams
 from marlbend.steering.upstreams_restored import list_confirmed_entries
 from marlbend.topics.contents import apply_upstream_entries
-from marlbend.topics.knowledge import (
-    Topic,
-)
+from marlbend.topics.knowledge import Topic
 
 __all__ = ('restore_domains', 'run_maintenance')
 
--- a/marlbend/edge/node.py
+++ b/marlbend/edge/node.py
@@ -5,13 +5,9 @@
 from typing import final
 
 from marlbend.observe.control_traffic import ControlTraffic
-from marlbend.steering.gossip import (
-    GossipState,
-)
+from marlbend.steering.gossip import GossipState
 from marlbend.steering.state import Steering
-from marlbend.topics.knowledge import (
-    Topic,
-)
+from marlbend.topics.knowledge import Topic
 
 __all__ = ('Address', 'GossipNode')
 
--- a/marlbend/edge/peers.py
+++ b/marlbend/edge/peers.py
@@ -42,9 +42,7 @@
 from marlbend.topics.changes import apply_peer_changes
 from marlbend.topics.fetching import fetch_topic
 from marlbend.topics.history import record_changes
-from marlbend.topics.knowledge import (
-    Topic,
-)
+from marlbend.topics.knowledge import Topic
 from marlbend.wire.heartbeats import (
     Heartbeat,
     TopicChanges,
--- a/marlbend/edge/reload.py
+++ b/marlbend/edge/reload.py
@@ -24,9 +24,7 @@
 from marlbend.platform.client import parse_url
 from marlbend.steering.budgets import make_budgets
 from marlbend.steering.state import Steering
-from marlbend.topics.knowledge import (
-    Topic,
-)
+from marlbend.topics.knowledge import Topic
 from marlbend.topics.reader import TopicWatcher
 
 __all__ = (
--- a/marlbend/edge/serving.py
+++ b/marlbend/edge/serving.py
@@ -14,9 +14,7 @@
 from marlbend.options import split_endpoint
 from marlbend.platform.paths import READY_PATH
 from marlbend.topics.fetching import make_topic_handlers
-from marlbend.topics.knowledge import (
-    Topic,
-)
+from marlbend.topics.knowledge import Topic
 from marlbend.wire import STATUS_PATH
 
 __all__ = ('is_ready', 'start_servers')
--- a/marlbend/edge/status.py
+++ b/marlbend/edge/status.py
@@ -18,9 +18,7 @@
 )
 from marlbend.steering.state import Outcome, Steering
 from marlbend.steering.upstreams import Upstream
-from marlbend.topics.knowledge import (
-    Topic,
-)
+from marlbend.topics.knowledge import Topic
 from marlbend.wire.status import (
     ControlStatus,
     CookieStatus,
--- a/marlbend/edge/wiring.py
+++ b/marlbend/edge/wiring.py
@@ -56,15 +56,11 @@
     Steering,
     Upstream,
 )
-from marlbend.steering.gossip import (
-    GossipState,
-)
+from marlbend.steering.gossip import GossipState
 from marlbend.steering.members import Member
 from marlbend.steering.state import observe_time
 from marlbend.steering.steer import make_receiver, retry_unanswered_syn
-from marlbend.topics.knowledge import (
-    Topic,
-)
+from marlbend.topics.knowledge import Topic
 from marlbend.topics.reader import TopicWatcher, watch_topic
 from marlbend.wire.heartbeats import MemberUpdate
 
--- a/marlbend/platform/paths.py
+++ b/marlbend/platform/paths.py
@@ -9,9 +9,7 @@
 from types import MappingProxyType
 from typing import Final
 
-from marlbend.topics.knowledge import (
-    Topic,
-)
+from marlbend.topics.knowledge import Topic
 
 __all__ = ('KIND_BY_TOPIC', 'READY_PATH', 'list_path', 'watch_path')
 
--- a/marlbend/test/edge.py
+++ b/marlbend/test/edge.py
@@ -19,16 +19,12 @@
 from marlbend.http import Connection, serve_http
 from marlbend.sockets import make_sender, open_socket, start_reading_with_sender
 from marlbend.steering import Callbacks, LocalInstance, Steering
-from marlbend.steering.gossip import (
-    GossipState,
-)
+from marlbend.steering.gossip import GossipState
 from marlbend.steering.members import Member
 from marlbend.test.links import Link, start_link
 from marlbend.topics.fetching import make_topic_handlers
 from marlbend.topics.history import record_changes
-from marlbend.topics.knowledge import (
-    Topic,
-)
+from marlbend.topics.knowledge import Topic
 from marlbend.topics.reader import TopicWatcher, watch_topic
 from marlbend.wire.heartbeats import MemberUpdate, TopicChanges
 
--- a/marlbend/test/simulation.py
+++ b/marlbend/test/simulation.py
@@ -36,17 +36,13 @@
 )
 from marlbend.steering.budgets import make_budgets
 from marlbend.steering.flows import expire_flows
-from marlbend.steering.gossip import (
-    GossipState,
-)
+from marlbend.steering.gossip import GossipState
 from marlbend.steering.members import Member, merge_member
 from marlbend.steering.steer import make_receiver, retry_unanswered_syn
 from marlbend.steering.upstreams import register_upstream
 from marlbend.test.steering import make_entry
 from marlbend.topics.changes import apply_peer_changes
-from marlbend.topics.knowledge import (
-    Topic,
-)
+from marlbend.topics.knowledge import Topic
 from marlbend.wire.heartbeats import MemberUpdate, TopicChanges
 
 __all__ = ('FleetSimulation',)
--- a/marlbend/test/test_edge.py
+++ b/marlbend/test/test_edge.py
@@ -13,9 +13,7 @@
 from marlbend.edge.node import GossipNode
 from marlbend.edge.peers import receive_heartbeat
 from marlbend.http import Connection
-from marlbend.steering.gossip import (
-    GossipState,
-)
+from marlbend.steering.gossip import GossipState
 from marlbend.steering.liveness import record_unanswered
 from marlbend.steering.members import Member
 from marlbend.steering.state import OUT_INDEFINITELY
@@ -28,9 +26,7 @@
     wait_until,
 )
 from marlbend.test.steering import SteeringDriver
-from marlbend.topics.knowledge import (
-    Topic,
-)
+from marlbend.topics.knowledge import Topic
 from marlbend.topics.reader import TopicWatcher, watch_topic
 from marlbend.wire.heartbeats import (
     Heartbeat,
--- a/marlbend/test/test_overload.py
+++ b/marlbend/test/test_overload.py
@@ -14,9 +14,7 @@
 from marlbend.observe.control_traffic import Cause
 from marlbend.steering.members import merge_member
 from marlbend.test.simulation import FleetSimulation
-from marlbend.topics.knowledge import (
-    Topic,
-)
+from marlbend.topics.knowledge import Topic
 from marlbend.topics.reader import (
     FLEET_RETRIES_PER_SECOND,
     TopicWatcher,
--- a/marlbend/test/test_propagation.py
+++ b/marlbend/test/test_propagation.py
@@ -25,9 +25,7 @@
 )
 from marlbend.test.links import Link, start_link
 from marlbend.topics.contents import decode_topic
-from marlbend.topics.knowledge import (
-    Topic,
-)
+from marlbend.topics.knowledge import Topic
 from marlbend.topics.reader import LIST_TIMEOUT_SECONDS
 from marlbend.wire.compression import MAX_BYTES, compress, decompress
 
--- a/marlbend/test/test_reports.py
+++ b/marlbend/test/test_reports.py
@@ -32,9 +32,7 @@
 from marlbend.test.steering import SteeringDriver, make_entry
 from marlbend.topics.contents import decode_topic, encode_topic
 from marlbend.topics.fetching import make_topic_handlers
-from marlbend.topics.knowledge import (
-    Topic,
-)
+from marlbend.topics.knowledge import Topic
 from marlbend.topics.reader import TopicWatcher, watch_topic
 from marlbend.wire.heartbeats import (
     Heartbeat,
--- a/marlbend/test/test_store_return.py
+++ b/marlbend/test/test_store_return.py
@@ -11,9 +11,7 @@
 from marlbend.ownership.watch import watch_object
 from marlbend.platform.client import PlatformClient, VersionedBody
 from marlbend.test.edge import Fleet, Instance, run_with_fleet, wait_until
-from marlbend.topics.knowledge import (
-    Topic,
-)
+from marlbend.topics.knowledge import Topic
 
 # Rates of the platform's smallest store, which all instances share.
 READS_PER_SECOND = 2000
--- a/marlbend/test/test_transfers.py
+++ b/marlbend/test/test_transfers.py
@@ -3,9 +3,7 @@
 from marlbend.edge.status import render_metrics
 from marlbend.observe.latency import LatencyHistogram
 from marlbend.test.edge import Fleet, run_with_fleet, wait_until
-from marlbend.topics.knowledge import (
-    Topic,
-)
+from marlbend.topics.knowledge import Topic
 
 
 def test_reads_and_fetches_are_counted_by_topic() -> None:
--- a/marlbend/topics/changes.py
+++ b/marlbend/topics/changes.py
@@ -23,9 +23,7 @@
     PublicationChange,
     UpstreamEntry,
 )
-from marlbend.steering.gossip import (
-    GossipState,
-)
+from marlbend.steering.gossip import GossipState
 from marlbend.steering.routes import change_publication, compare_publications
 from marlbend.steering.state import Steering
 from marlbend.topics.contents import (
--- a/marlbend/topics/contents.py
+++ b/marlbend/topics/contents.py
@@ -26,9 +26,7 @@
     decode_upstream,
 )
 from marlbend.steering.documents import Publication, UpstreamEntry
-from marlbend.steering.gossip import (
-    GossipState,
-)
+from marlbend.steering.gossip import GossipState
 from marlbend.steering.routes import update_routes
 from marlbend.steering.state import OUT_INDEFINITELY, Steering
 from marlbend.steering.upstreams import (
@@ -43,9 +41,7 @@
     release_absent,
     restore_entry,
 )
-from marlbend.topics.knowledge import (
-    Topic,
-)
+from marlbend.topics.knowledge import Topic
 
 __all__ = (
     'NOT_DELETED',
--- a/marlbend/topics/fetching.py
+++ b/marlbend/topics/fetching.py
@@ -25,9 +25,7 @@
     record_sent,
 )
 from marlbend.steering.budgets import spend_any
-from marlbend.steering.gossip import (
-    GossipState,
-)
+from marlbend.steering.gossip import GossipState
 from marlbend.steering.members import age_in_milliseconds
 from marlbend.topics.changes import apply_peer_changes
 from marlbend.topics.contents import (
