Log what is decided on each upstream after the store's return

The logs could not tell whether the copy had the entry of an upstream that ended after the return, nor what became of an entry that was held. E308 names the decision: held, lost, written, removed or kept, and for how long the upstream had been missing.

--- a/marlbend/edge/maintenance.py
+++ b/marlbend/edge/maintenance.py
@@ -19,8 +19,7 @@
 from marlbend.steering.flows import expire_flows
 from marlbend.steering.gossip import list_live_members
 from marlbend.steering.upstreams import expire_upstreams
-from marlbend.steering.upstreams_restored import list_confirmed_entries
-from marlbend.topics.contents import apply_upstream_entries
+from marlbend.topics.contents import register_kept_entries
 from marlbend.topics.knowledge import Topic
 
 __all__ = ('restore_domains', 'run_maintenance')
@@ -55,7 +54,7 @@
             for each in list_live_members(gossip, steering.now)
         )
         expire_flows(steering)
-        _register_held(steering)
+        register_kept_entries(steering)
         confirmed = (
             steering.platform_recovered_at,
             steering.upstreams_confirmed_at,
@@ -64,14 +63,6 @@
             emit(Event.UPSTREAM_ENDED, upstream=ended.name, reason='missing')
 
 
-def _register_held(steering: Steering) -> None:
-    """Register what a copy of the store brought back, and the store kept."""
-    held = list_confirmed_entries(
-        steering.pool, steering.upstreams_confirmed_at
-    )
-    apply_upstream_entries(steering, {entry.name: entry for entry in held})
-
-
 def _log_control_traffic(
     traffic: ControlTraffic, logged_bytes: dict[Cause, int]
 ) -> None:
--- a/marlbend/events.py
+++ b/marlbend/events.py
@@ -98,6 +98,11 @@
         'the store came back from a copy: era {era}, {kind} at revision '
         '{revision}, before {known}',
     )
+    UPSTREAM_RESTORED = (
+        308,
+        logging.INFO,
+        'upstream {upstream} after the return of the store: {decision}',
+    )
     CONTROL_SENT = (
         307,
         logging.INFO,
--- a/marlbend/steering/upstreams_restored.py
+++ b/marlbend/steering/upstreams_restored.py
@@ -61,10 +61,12 @@
     return held is not None and held.entry == entry
 
 
-def release_absent(pool: UpstreamPool, present: set[str]) -> None:
-    """Forget held entries that the store no longer has."""
-    for name in pool.held_by_name.keys() - present:
+def release_absent(pool: UpstreamPool, present: set[str]) -> set[str]:
+    """Forget held entries that the store no longer has; return their names."""
+    absent = pool.held_by_name.keys() - present
+    for name in absent:
         pool.held_by_name.pop(name)
+    return absent
 
 
 def list_confirmed_entries(
--- a/marlbend/topics/contents.py
+++ b/marlbend/topics/contents.py
@@ -37,6 +37,7 @@
 )
 from marlbend.steering.upstreams_restored import (
     is_held,
+    list_confirmed_entries,
     lose_registration,
     release_absent,
     restore_entry,
@@ -54,6 +55,7 @@
     'decode_topic',
     'encode_topic',
     'log_return',
+    'register_kept_entries',
 )
 
 ApplyObject = Callable[[Steering, StoredObject, bool], None]
@@ -124,6 +126,16 @@
             _register(steering, entry)
 
 
+def register_kept_entries(steering: Steering) -> None:
+    """Register what a copy of the store brought back, and the store kept."""
+    pool = steering.pool
+    held = list_confirmed_entries(pool, steering.upstreams_confirmed_at)
+    for entry in held:
+        _log_restored(steering, entry.name, 'kept')
+        pool.held_by_name.pop(entry.name)
+        _register(steering, entry)
+
+
 def apply_publication(steering: Steering, publication: Publication) -> None:
     """Put a publication in force unless its version is out of date."""
     if update_routes(steering.routes, publication, steady_seconds()):
@@ -243,15 +255,19 @@
     pool = steering.pool
     for entry in entries:
         current = restore_entry(pool, entry, now) if is_restored else entry
-        if current is not None and not is_held(pool, current):
+        if current is None:
+            _log_restored(steering, entry.name, 'held')
+        elif not is_held(pool, current):
             _register(steering, current)
     present = (each.name for each in entries)
     for name in registered_names_except(pool, present):
         if is_restored:
+            _log_restored(steering, name, 'lost')
             lose_registration(pool, name, now)
         else:
             _unregister(steering, name)
-    release_absent(pool, {each.name for each in entries})
+    for name in release_absent(pool, {each.name for each in entries}):
+        _log_restored(steering, name, 'removed')
     steering.upstreams_known = True
 
 
@@ -268,6 +284,9 @@
 
 
 def _register(steering: Steering, entry: UpstreamEntry) -> None:
+    pool = steering.pool
+    if entry.name in pool.held_by_name or entry.name in pool.lost:
+        _log_restored(steering, entry.name, 'written')
     if register_upstream(steering.pool, entry, steady_seconds()):
         emit(
             Event.UPSTREAM_REGISTERED,
@@ -284,7 +303,8 @@
     A registration can expire during a platform outage, even one that this
     instance has not noticed, so another upstream does not end at once.
     """
-    steering.pool.held_by_name.pop(name, None)
+    if steering.pool.held_by_name.pop(name, None) is not None:
+        _log_restored(steering, name, 'removed')
     upstream = steering.pool.by_name.get(name)
     if upstream is None or upstream.ended_at or name in steering.pool.lost:
         return
@@ -296,6 +316,18 @@
         emit(Event.UPSTREAM_ENDED, upstream=name, reason='left')
 
 
+def _log_restored(steering: Steering, name: str, decision: str) -> None:
+    known = steering.pool.by_name.get(name)
+    missing_since = known.missing_since if known else 0
+    missing = steady_seconds() - missing_since if missing_since else 0
+    emit(
+        Event.UPSTREAM_RESTORED,
+        upstream=name,
+        decision=decision,
+        missing=round(missing, 2),
+    )
+
+
 def _apply_domain(
     steering: Steering,
     stored: StoredObject,
