--- a/marlbend/test/test_store_return.py
+++ b/marlbend/test/test_store_return.py
@@ -184,6 +184,33 @@
     run_with_fleet(scenario)
 
 
+def test_instance_started_after_a_return_knows_what_the_copy_lacks() -> None:
+    """It would reset open flows, whose cookie it doesn't know."""
+
+    async def scenario(fleet: Fleet) -> None:
+        instances = await start_fleet(fleet, 3)
+        copy = copy_store(fleet.store)
+        await fleet.register('i-2')
+        await fleet.put('evacuations', 'b', {})
+        await wait_until(
+            lambda: all(
+                'i-2' in each.upstreams and is_b_out(each) for each in instances
+            )
+        )
+        await restore_copy(fleet.store, copy)
+        await wait_until(lambda: all(is_in_era(each, 2) for each in instances))
+        started = await fleet.add('n9', '127.9.2.1')
+        async with asyncio.timeout(CHANGE_LIMIT_SECONDS):
+            await wait_until(
+                lambda: (
+                    'i-2' in started.steering.pool.by_name and is_b_out(started)
+                )
+            )
+        assert 'i-2' not in started.upstreams
+
+    run_with_fleet(scenario)
+
+
 def test_store_without_history_is_not_called_without_a_pause() -> None:
     async def scenario(fleet: Fleet) -> None:
         await start_fleet(fleet, 4)
--- /dev/null
+++ b/marlbend/test/test_upstreams_restored.py
@@ -0,0 +1,69 @@
+"""Decide on upstreams after a return of the store, without a network."""
+
+from marlbend.steering import Upstream
+from marlbend.steering.upstreams import (
+    REWRITE_SECONDS,
+    UpstreamPool,
+    expire_upstreams,
+    mark_missing,
+    register_upstream,
+)
+from marlbend.steering.upstreams_restored import (
+    list_confirmed_entries,
+    lose_registration,
+    restore_entry,
+)
+from marlbend.test.steering import make_entry
+
+START = 1000.0
+RETURNED_AT = START + 1.5
+ENTRY = make_entry('a1', 'catalog', 'a')
+
+
+def make_pool(*options: str) -> UpstreamPool:
+    pool = UpstreamPool()
+    entry = make_entry('a1', 'catalog', 'a', options)
+    register_upstream(pool, entry, START)
+    return pool
+
+
+def list_ended(pool: UpstreamPool, now: float) -> list[Upstream]:
+    """Expire with a store that has answered all the time."""
+    return list(expire_upstreams(pool, now, (START - 100, now)))
+
+
+def test_upstream_missing_before_a_return_is_not_ended_right_after_it() -> None:
+    pool = make_pool()
+    mark_missing(pool, 'a1', START)
+    lose_registration(pool, 'a1', RETURNED_AT)
+    assert not list_ended(pool, RETURNED_AT + REWRITE_SECONDS - 0.1)
+    assert list_ended(pool, RETURNED_AT + REWRITE_SECONDS + 0.1)
+
+
+def test_missing_upstream_that_the_copy_has_is_not_ended_but_used_again() -> (
+    None
+):
+    pool = make_pool()
+    mark_missing(pool, 'a1', START)
+    assert restore_entry(pool, ENTRY, RETURNED_AT) is None
+    kept_at = RETURNED_AT + REWRITE_SECONDS + 0.1
+    assert not list_ended(pool, kept_at)
+    assert list(list_confirmed_entries(pool, kept_at)) == [ENTRY]
+
+
+def test_upstream_lost_in_two_returns_may_write_again_after_the_second() -> (
+    None
+):
+    pool = make_pool()
+    lose_registration(pool, 'a1', START)
+    lose_registration(pool, 'a1', RETURNED_AT)
+    assert not list_ended(pool, START + REWRITE_SECONDS + 0.1)
+    assert list_ended(pool, RETURNED_AT + REWRITE_SECONDS + 0.1)
+
+
+def test_cold_upstream_is_not_warm_because_the_copy_is_older() -> None:
+    pool = make_pool('cold=5')
+    restored = restore_entry(pool, ENTRY, START + 1)
+    assert restored is not None
+    register_upstream(pool, restored, START + 1)
+    assert pool.by_name['a1'].cold_until == START + 5
