Keep the open flows of an upstream that answers without a registration

Cause: once an upstream without a registration had ended, each packet of its open flows was answered with a reset, unless a response had been seen in the last 2.2 s. A flow that was idle had no such proof. The same holds for a draining upstream whose registration lapses.

Now registrations decide on new flows, and packets on open ones. A flow of an upstream without a registration is reset if packets went unanswered for 0.8 s, the limit that also holds for registered ones, though without a second witness and for requests that are not idempotent too. If the upstream announced that it leaves and has not answered for 2.2 s, one retransmission is enough, so that idle flows of upstreams that left get their reset 0.2 s later than before.

--- a/marlbend/steering/failure_detection.py
+++ b/marlbend/steering/failure_detection.py
@@ -1,23 +1,29 @@
 """Decide which upstreams are suspected and which flows are reset.
 
-One instance may be wrong, since its own link may be congested.  So a flow is
-reset only if this instance itself recently saw unanswered packets, another
-instance saw them too, and this instance has rarely raised a false suspicion
-recently.  The other instance belongs to the local domain or to the upstream's
-own domain.  Instances of further domains reach the upstream over other paths;
-`marlbend.edge.upstream_updates` leaves out the unanswered packets that they
-see, so this module counts every report that it finds.
+One instance may be wrong, since its own link may be congested.  So a flow to a
+registered upstream is reset only if this instance itself recently saw
+unanswered packets, another instance saw them too, and this instance has rarely
+raised a false suspicion recently.  The other instance belongs to the local
+domain or to the upstream's own domain.  Instances of further domains reach the
+upstream over other paths; `marlbend.edge.upstream_updates` leaves out the
+unanswered packets that they see, so this module counts every report that it
+finds.
 """
 
 from collections.abc import Iterator
 from typing import Final, final
 
 from marlbend.steering.state import Partition, Steering
-from marlbend.steering.upstreams import PeerReport, Upstream
+from marlbend.steering.upstreams import (
+    MISSING_SECONDS,
+    PeerReport,
+    Upstream,
+)
 
 __all__ = (
     'count_busy',
     'detect_partition',
+    'is_given_up',
     'is_presumed_dead',
     'is_suspected',
 )
@@ -146,6 +152,35 @@
     return is_confirmed and now - summary.since > DEAD_SECONDS
 
 
+def is_given_up(upstream: Upstream, now: float) -> bool:
+    """Return whether the open flows of an upstream without registration end.
+
+    A registration that is gone ends no open flow by itself: the store may have
+    lost it, and the upstream may be unable to write it again.  With it gone,
+    unanswered packets that this instance alone saw are proof enough.
+
+    Designed for a store that loses writes, and for flows that were idle while
+    their upstream left; these get a reset after one retransmission.
+    """
+    if not upstream.ended_at or not upstream.liveness.unanswered:
+        return False
+    starts = [
+        report.unanswered_since for report in _credible_reports(upstream, now)
+    ]
+    silent_since = min(upstream.liveness.unanswered_since, *starts, now)
+    return now - silent_since > _find_silence_limit(upstream, now)
+
+
+def _find_silence_limit(upstream: Upstream, now: float) -> float:
+    """Return how long an upstream without registration has to be silent.
+
+    One that announced its departure, and did not answer lately, has left.
+    """
+    has_left = not upstream.missing_since
+    silent_seconds = now - upstream.liveness.last_alive_at
+    return 0 if has_left and silent_seconds > MISSING_SECONDS else DEAD_SECONDS
+
+
 def count_busy(upstream: Upstream, now: float) -> int:
     """Return the number of requests in progress known to this instance."""
     reported = (
--- a/marlbend/steering/steer.py
+++ b/marlbend/steering/steer.py
@@ -5,7 +5,8 @@
 instance can find the upstream of such a packet without shared flow state.
 
 A SYN that gets no response is sent to another upstream.  A flow whose upstream
-has ended is reset, so that the caller does not have to wait for a timeout.
+no longer answers is reset, so that the caller does not have to wait for a
+timeout.
 """
 
 from collections.abc import Callable
@@ -13,7 +14,7 @@
 
 from marlbend.steering.budgets import spend
 from marlbend.steering.choice import choose_ejected, choose_upstream
-from marlbend.steering.failure_detection import is_presumed_dead
+from marlbend.steering.failure_detection import is_given_up, is_presumed_dead
 from marlbend.steering.flows import (
     add_flow,
     move_flow,
@@ -31,7 +32,7 @@
 from marlbend.steering.routes import Route, pick_service
 from marlbend.steering.slow_start import record_new_flow
 from marlbend.steering.state import Flow, Outcome, Steering
-from marlbend.steering.upstreams import Upstream, has_given_up
+from marlbend.steering.upstreams import Upstream
 
 __all__ = ('make_receiver', 'retry_unanswered_syn')
 
@@ -205,7 +206,7 @@
     if upstream.entry.service not in route.services:
         steering.counts[Outcome.DROPPED_FORGED] += 1
         return
-    if has_given_up(upstream, steering.now):
+    if is_given_up(upstream, steering.now):
         _reset_flow(steering, packet, upstream, Outcome.RESET_ENDED)
         return
     flow = steering.flow_by_key.get(packet.flow_key)
@@ -216,8 +217,9 @@
         # answered it; the flow stays with the one that completed the handshake.
         upstream = flow.upstream
     starts_request = observe_packet(steering, flow, packet, upstream)
-    if flow.retransmissions and _can_reset(steering, upstream, route):
-        _reset_flow(steering, packet, upstream, Outcome.RESET_SILENT)
+    if flow.retransmissions and _reset_if_silent(
+        steering, packet, upstream, route
+    ):
         return
     steering.counts[Outcome.FORWARDED] += 1
     steering.callbacks.forward(packet, upstream)
@@ -265,15 +267,18 @@
     remove_flow(steering, packet.flow_key)
 
 
-def _can_reset(
-    steering: Steering,
-    upstream: Upstream,
-    route: Route,
+def _reset_if_silent(
+    steering: Steering, packet: Packet, upstream: Upstream, route: Route
 ) -> bool:
-    """Return whether a flow may be reset although its upstream has not ended.
+    """Reset a flow whose data went unanswered; return whether it was reset.
 
-    The requests of its route must be idempotent, so that the caller may repeat
-    them on another flow at once, and the upstream must be presumed dead.  That
-    the flow's own data went unanswered is checked by `_continue_flow`.
+    While the upstream is registered, the requests of the route must be
+    idempotent, so that the caller may repeat them on another flow at once.
     """
-    return route.spec.repeatable and is_presumed_dead(steering, upstream)
+    if is_given_up(upstream, steering.now):
+        _reset_flow(steering, packet, upstream, Outcome.RESET_ENDED)
+        return True
+    if route.spec.repeatable and is_presumed_dead(steering, upstream):
+        _reset_flow(steering, packet, upstream, Outcome.RESET_SILENT)
+        return True
+    return False
--- a/marlbend/steering/upstreams.py
+++ b/marlbend/steering/upstreams.py
@@ -16,7 +16,6 @@
     'Upstream',
     'UpstreamPool',
     'derive_cookie',
-    'has_given_up',
 )
 
 # A removed registration is still used for this long, since it may have expired
@@ -257,16 +256,6 @@
     return True
 
 
-def has_given_up(known: Upstream, now: float) -> bool:
-    """Return whether the open flows of an upstream are given up.
-
-    One whose registration stays missing gets no new flow.  While its responses
-    show that it is alive, it may only fail to report, and keeps its open flows.
-    """
-    is_alive = now - known.liveness.last_alive_at < MISSING_SECONDS
-    return known.ended_at > 0 and not (known.missing_since and is_alive)
-
-
 def expire_upstreams(
     pool: UpstreamPool,
     now: float,
--- a/marlbend/test/test_reports.py
+++ b/marlbend/test/test_reports.py
@@ -334,6 +334,11 @@
     assert 'reset' not in driver.sent
     driver.wait('3')
     driver.send_data('f1')
+    driver.wait('0.2')
+    driver.retransmit('f1')
+    assert 'reset' not in driver.sent
+    driver.wait('0.8')
+    driver.retransmit('f1')
     assert driver.sent[-1] == 'reset'
 
 
