Count an upstream's missing time from the store's return

Cause: the 2.2 s for a missing registration had begun before the store went away, in the former era, while an upstream that was present before the return and that the copy lacks gets 10 s. Both may be in the same position.

Now what was known of a registration before the return does not count: one that the copy lacks may be written again for 10 s, and one that the copy has is not missing while the store keeps its entry. If the store drops the entry, the 2.2 s begin then. A second return begins the 10 s again.

--- a/marlbend/steering/upstreams.py
+++ b/marlbend/steering/upstreams.py
@@ -272,23 +272,22 @@
         if known.ended_at:
             if now - known.ended_at > ENDED_SECONDS:
                 _remove(pool, known)
-        elif _has_stayed_missing(
-            known, confirmed, is_lost=known.name in pool.lost
-        ):
+        elif _has_stayed_missing(pool, known, confirmed):
             end_upstream(pool, known.name, now)
             yield known
 
 
 def _has_stayed_missing(
-    known: Upstream,
-    confirmed: tuple[float, float],
-    *,
-    is_lost: bool,
+    pool: UpstreamPool, known: Upstream, confirmed: tuple[float, float]
 ) -> bool:
+    held = pool.held_by_name.get(known.name)
+    is_in_store = held is not None and held.entry.born == known.entry.born
+    if not known.missing_since or is_in_store:
+        return False
     since, until = confirmed
     missing_seconds = until - max(known.missing_since, since)
-    limit = REWRITE_SECONDS if is_lost else MISSING_SECONDS
-    return known.missing_since > 0 and missing_seconds > limit
+    limit = REWRITE_SECONDS if known.name in pool.lost else MISSING_SECONDS
+    return missing_seconds > limit
 
 
 def registered_names_except(
--- a/marlbend/steering/upstreams_restored.py
+++ b/marlbend/steering/upstreams_restored.py
@@ -5,6 +5,10 @@
 write again what holds, some time later; the registration of an upstream that
 is gone expires.  Until then what is known from before the return counts.
 
+An upstream whose registration was missing before the return may be in either
+position.  If the copy has it, it neither ends nor gets new flows while the
+store keeps it; if not, it gets as much time to write again as any other.
+
 Designed for a store that loses its latest changes while upstreams come and go.
 """
 
@@ -15,7 +19,6 @@
     REWRITE_SECONDS,
     HeldEntry,
     UpstreamPool,
-    mark_missing,
 )
 
 __all__ = (
@@ -23,6 +26,7 @@
     'list_confirmed_entries',
     'lose_registration',
     'release_absent',
+    'release_entry',
     'restore_entry',
 )
 
@@ -50,8 +54,13 @@
 
 
 def lose_registration(pool: UpstreamPool, name: str, now: float) -> None:
-    """Keep an upstream that the copy lacks, until it registers again."""
-    if mark_missing(pool, name, now):
+    """Keep an upstream that the copy lacks, until it registers again.
+
+    What was known of its registration before the return does not count.
+    """
+    known = pool.by_name.get(name)
+    if known is not None and not known.ended_at:
+        known.missing_since = now
         pool.lost[name] = now
 
 
@@ -61,14 +70,29 @@
     return held is not None and held.entry == entry
 
 
-def release_absent(pool: UpstreamPool, present: set[str]) -> set[str]:
+def release_absent(
+    pool: UpstreamPool, present: set[str], now: float
+) -> set[str]:
     """Forget held entries that the store no longer has; return their names."""
     absent = pool.held_by_name.keys() - present
     for name in absent:
-        pool.held_by_name.pop(name)
+        release_entry(pool, name, now)
     return absent
 
 
+def release_entry(pool: UpstreamPool, name: str, now: float) -> bool:
+    """Forget a held entry that the store has removed, if there is one.
+
+    Return whether there was one.  Its upstream is missing from now on.
+    """
+    if pool.held_by_name.pop(name, None) is None:
+        return False
+    known = pool.by_name.get(name)
+    if known is not None and known.missing_since:
+        known.missing_since = now
+    return True
+
+
 def list_confirmed_entries(
     pool: UpstreamPool, confirmed_until: float
 ) -> Iterator[UpstreamEntry]:
--- a/marlbend/test/test_upstreams_restored.py
+++ b/marlbend/test/test_upstreams_restored.py
@@ -2,6 +2,7 @@
 
 from marlbend.steering import Upstream
 from marlbend.steering.upstreams import (
+    MISSING_SECONDS,
     REWRITE_SECONDS,
     UpstreamPool,
     expire_upstreams,
@@ -11,6 +12,7 @@
 from marlbend.steering.upstreams_restored import (
     list_confirmed_entries,
     lose_registration,
+    release_absent,
     restore_entry,
 )
 from marlbend.test.steering import make_entry
@@ -61,6 +63,16 @@
     assert list_ended(pool, RETURNED_AT + REWRITE_SECONDS + 0.1)
 
 
+def test_missing_upstream_ends_after_the_store_drops_its_entry() -> None:
+    pool = make_pool()
+    mark_missing(pool, 'a1', START)
+    restore_entry(pool, ENTRY, RETURNED_AT)
+    dropped_at = RETURNED_AT + 3
+    assert release_absent(pool, set(), dropped_at) == {'a1'}
+    assert not list_ended(pool, dropped_at + MISSING_SECONDS - 0.1)
+    assert list_ended(pool, dropped_at + MISSING_SECONDS + 0.1)
+
+
 def test_cold_upstream_is_not_warm_because_the_copy_is_older() -> None:
     pool = make_pool('cold=5')
     restored = restore_entry(pool, ENTRY, START + 1)
--- a/marlbend/topics/contents.py
+++ b/marlbend/topics/contents.py
@@ -40,6 +40,7 @@
     list_confirmed_entries,
     lose_registration,
     release_absent,
+    release_entry,
     restore_entry,
 )
 from marlbend.topics.knowledge import Topic
@@ -266,7 +267,7 @@
             lose_registration(pool, name, now)
         else:
             _unregister(steering, name)
-    for name in release_absent(pool, {each.name for each in entries}):
+    for name in release_absent(pool, {each.name for each in entries}, now):
         _log_restored(steering, name, 'removed')
     steering.upstreams_known = True
 
@@ -303,12 +304,12 @@
     A registration can expire during a platform outage, even one that this
     instance has not noticed, so another upstream does not end at once.
     """
-    if steering.pool.held_by_name.pop(name, None) is not None:
+    now = steady_seconds()
+    if release_entry(steering.pool, name, now):
         _log_restored(steering, name, 'removed')
     upstream = steering.pool.by_name.get(name)
     if upstream is None or upstream.ended_at or name in steering.pool.lost:
         return
-    now = steady_seconds()
     if upstream.entry.accepting:
         if mark_missing(steering.pool, name, now):
             emit(Event.UPSTREAM_MISSING, upstream=name)
