Keep cold upstreams cold when the copy is older

After a domain was out, its upstreams are cold; they write that into their entries. A copy of the store from before has them warm, and each instance took them for warm at once, so that they could get more new flows than they bear until they wrote again.

Now the later of both ends of the cold time counts after a return. test_cold_upstream_is_not_warm_because_the_copy_is_older failed before.

--- a/marlbend/steering/upstreams_restored.py
+++ b/marlbend/steering/upstreams_restored.py
@@ -14,6 +14,8 @@
 
 from collections.abc import Iterator
 
+import msgspec
+
 from marlbend.steering.documents import UpstreamEntry
 from marlbend.steering.upstreams import (
     REWRITE_SECONDS,
@@ -37,7 +39,8 @@
     """Return what to register for an entry of the copy, `None` for nothing.
 
     An upstream that has ended, is missing or drains stays so, and its entry is
-    held; so is an entry of an earlier start.
+    held; so is an entry of an earlier start.  One that is cold stays cold, as
+    the copy may be from before its domain was out.
     """
     known = pool.by_name.get(entry.name)
     if known is None or known.entry.born < entry.born:
@@ -50,7 +53,8 @@
     if is_earlier_start or has_left or is_leaving:
         pool.held_by_name[entry.name] = HeldEntry(entry, now)
         return None
-    return entry
+    cold_seconds = max(entry.cold_seconds, known.cold_until - now)
+    return msgspec.structs.replace(entry, cold_seconds=cold_seconds)
 
 
 def lose_registration(pool: UpstreamPool, name: str, now: float) -> None:
