Let a started instance learn what the copy of the store lacks

An instance that started after the return knew only the copy. It dropped the packets of open flows of upstreams that the copy lacks, and would reset them after 4 s, it took a domain for available that others kept out, and it sent new flows to upstreams that had left or drained.

Cause: others passed on registered upstreams only, and at the same revision nothing was asked of them.

Now an instance that has read the lists asks others, one at a time, for what the lists lack (/unlisted at the control endpoint): upstreams that are missing or have ended, entries that are held, domains that are kept out. The first one that started earlier is enough; after eight it goes without. Instances of the former release answer 404, and nothing changes for them. Between instances, a held upstream is now always passed on as the copy has it: one that fetched the list from another no longer takes the known state for one written again.

--- a/marlbend/edge/node.py
+++ b/marlbend/edge/node.py
@@ -2,8 +2,9 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import final
+from typing import Final, final
 
+from marlbend.clock import steady_seconds
 from marlbend.observe.control_traffic import ControlTraffic
 from marlbend.steering.gossip import GossipState
 from marlbend.steering.state import Steering
@@ -13,6 +14,9 @@
 
 Address = tuple[str, int]
 
+# If most instances start at once, the first that are asked know nothing more.
+MAX_LESSONS: Final = 8
+
 
 @final
 class GossipNode:
@@ -21,16 +25,21 @@
     `seeds` holds the control endpoints of the configured seeds.  `send` sends a
     datagram to an address.  `fetching` holds the topics that are being fetched,
     and `tasks` the tasks that fetch them; those in `whole_needed` are fetched
-    whole, since changes did not apply.  `urgent_sent_at` is when urgent
-    heartbeats were last sent, in steady seconds.  `traffic` counts what was
-    sent.
+    whole, since changes did not apply.  `lessons_left` is how many more
+    instances are asked, one at a time, for what the store's lists lack; see
+    `marlbend.topics.unlisted`.  `urgent_sent_at` is when urgent heartbeats were
+    last sent, and `started_at` the start of this instance, in steady seconds.
+    `traffic` counts what was sent.
     """
 
     __slots__ = (
         'fetching',
         'gossip',
+        'is_learning',
+        'lessons_left',
         'seeds',
         'send',
+        'started_at',
         'steering',
         'tasks',
         'traffic',
@@ -53,5 +62,8 @@
         self.urgent_sent_at: float = 0
         self.fetching: set[Topic] = set()
         self.whole_needed: set[Topic] = set()
+        self.lessons_left = MAX_LESSONS
+        self.is_learning = False
+        self.started_at = steady_seconds()
         self.tasks: set[asyncio.Task[None]] = set()
         self.traffic = ControlTraffic()
--- a/marlbend/edge/serving.py
+++ b/marlbend/edge/serving.py
@@ -15,6 +15,7 @@
 from marlbend.platform.paths import READY_PATH
 from marlbend.topics.fetching import make_topic_handlers
 from marlbend.topics.knowledge import Topic
+from marlbend.topics.unlisted import make_unlisted_handlers
 from marlbend.wire import STATUS_PATH
 
 __all__ = ('is_ready', 'start_servers')
@@ -55,6 +56,7 @@
         split_endpoint(cookie_settings.ready): {READY_PATH: serve_ready},
         split_endpoint(cookie_settings.control): {
             **make_topic_handlers(node),
+            **make_unlisted_handlers(node),
             STATUS_PATH: serve_status,
         },
     }
--- a/marlbend/steering/upstreams_restored.py
+++ b/marlbend/steering/upstreams_restored.py
@@ -21,11 +21,19 @@
     REWRITE_SECONDS,
     HeldEntry,
     UpstreamPool,
+    derive_cookie,
+    end_upstream,
+    mark_missing,
+    register_upstream,
 )
 
 __all__ = (
+    'add_unregistered',
+    'hold_entry',
     'is_held',
     'list_confirmed_entries',
+    'list_held',
+    'list_unregistered',
     'lose_registration',
     'release_absent',
     'release_entry',
@@ -68,6 +76,58 @@
         pool.lost[name] = now
 
 
+def list_unregistered(pool: UpstreamPool) -> Iterator[UpstreamEntry]:
+    """Yield the entries of upstreams that are missing or have ended."""
+    for known in pool.by_name.values():
+        if known.missing_since or known.ended_at:
+            yield known.entry
+
+
+def add_unregistered(
+    pool: UpstreamPool, entry: UpstreamEntry, now: float
+) -> None:
+    """Add an upstream that another instance knows, for its open flows only.
+
+    Do nothing if it is known, or if its cookie is in use.
+    """
+    if (
+        entry.name in pool.by_name
+        or derive_cookie(entry.name) in pool.by_cookie
+    ):
+        return
+    register_upstream(pool, entry, now)
+    mark_missing(pool, entry.name, now)
+    end_upstream(pool, entry.name, now)
+
+
+def list_held(
+    pool: UpstreamPool,
+) -> Iterator[tuple[UpstreamEntry, UpstreamEntry]]:
+    """Yield each held entry with the one that is known of its upstream."""
+    for name, held in pool.held_by_name.items():
+        known = pool.by_name.get(name)
+        if known is not None:
+            yield held.entry, known.entry
+
+
+def hold_entry(
+    pool: UpstreamPool, held: UpstreamEntry, known: UpstreamEntry, now: float
+) -> None:
+    """Hold an entry as another instance does, and use the known one.
+
+    Do nothing if this instance knows the upstream by another entry.
+    """
+    current = pool.by_name.get(held.name)
+    is_held_here = held.name in pool.held_by_name
+    if current is None or current.entry != held or is_held_here:
+        return
+    pool.held_by_name[held.name] = HeldEntry(held, now)
+    current.entry = known
+    # One that drains gets no new flow anyway.
+    if known.accepting:
+        mark_missing(pool, held.name, now)
+
+
 def is_held(pool: UpstreamPool, entry: UpstreamEntry) -> bool:
     """Return whether an entry is the one of the copy, not written since."""
     held = pool.held_by_name.get(entry.name)
--- a/marlbend/test/edge.py
+++ b/marlbend/test/edge.py
@@ -26,6 +26,7 @@
 from marlbend.topics.history import record_changes
 from marlbend.topics.knowledge import Topic
 from marlbend.topics.reader import TopicWatcher, watch_topic
+from marlbend.topics.unlisted import make_unlisted_handlers
 from marlbend.wire.heartbeats import MemberUpdate, TopicChanges
 
 __all__ = ('Fleet', 'Instance', 'run_with_fleet', 'wait_until')
@@ -89,7 +90,11 @@
             lambda: None,
         )
         self.server = await serve_http(
-            await self.open_links(), make_topic_handlers(self.node)
+            await self.open_links(),
+            {
+                **make_topic_handlers(self.node),
+                **make_unlisted_handlers(self.node),
+            },
         )
         watchers = (
             TopicWatcher(
--- a/marlbend/test/test_upstreams_restored.py
+++ b/marlbend/test/test_upstreams_restored.py
@@ -10,6 +10,8 @@
     register_upstream,
 )
 from marlbend.steering.upstreams_restored import (
+    hold_entry,
+    is_held,
     list_confirmed_entries,
     lose_registration,
     release_absent,
@@ -73,6 +75,29 @@
     assert list_ended(pool, dropped_at + MISSING_SECONDS + 0.1)
 
 
+def test_started_instance_holds_the_entry_of_an_upstream_that_drained() -> None:
+    pool = make_pool()
+    draining = make_entry('a1', 'catalog', 'a', ('draining',))
+    hold_entry(pool, ENTRY, draining, RETURNED_AT)
+    assert is_held(pool, ENTRY)
+    assert not pool.by_name['a1'].entry.accepting
+    assert not pool.by_name['a1'].missing_since
+
+
+def test_started_instance_holds_the_entry_of_an_upstream_that_left() -> None:
+    pool = make_pool()
+    hold_entry(pool, ENTRY, ENTRY, RETURNED_AT)
+    assert is_held(pool, ENTRY)
+    assert pool.by_name['a1'].missing_since
+    assert not list_ended(pool, RETURNED_AT + REWRITE_SECONDS)
+
+
+def test_started_instance_does_not_hold_what_was_written_since() -> None:
+    pool = make_pool('slots=2')
+    hold_entry(pool, ENTRY, ENTRY, RETURNED_AT)
+    assert not is_held(pool, ENTRY)
+
+
 def test_cold_upstream_is_not_warm_because_the_copy_is_older() -> None:
     pool = make_pool('cold=5')
     restored = restore_entry(pool, ENTRY, START + 1)
--- a/marlbend/topics/contents.py
+++ b/marlbend/topics/contents.py
@@ -155,26 +155,24 @@
 def encode_topic(steering: Steering, topic: Topic) -> bytes:
     """Return the known contents of a topic, for another instance.
 
-    Of the upstreams that a copy of the store brought back, it has the entries,
-    so that each instance decides on them.
+    Of the upstreams that a copy of the store brought back, it has the entries
+    of the copy, so that each instance decides on them.
     """
     if topic is Topic.CONFIGURATION:
         return _ENCODER.encode(steering.routes.publication)
     if topic is Topic.DOMAINS_OUT:
         return _ENCODER.encode(tuple(_list_domains_out(steering)))
     now = steady_seconds()
+    pool = steering.pool
+    held = tuple(each.entry for each in pool.held_by_name.values())
     registered = tuple(
         msgspec.structs.replace(
             upstream.entry, cold_seconds=max(upstream.cold_until - now, 0)
         )
-        for upstream in steering.pool.by_name.values()
-        if not upstream.ended_at and not upstream.missing_since
-    )
-    registered_names = {entry.name for entry in registered}
-    held = tuple(
-        each.entry
-        for each in steering.pool.held_by_name.values()
-        if each.entry.name not in registered_names
+        for upstream in pool.by_name.values()
+        if not upstream.ended_at
+        and not upstream.missing_since
+        and upstream.name not in pool.held_by_name
     )
     return _ENCODER.encode(registered + held)
 
--- /dev/null
+++ b/marlbend/topics/unlisted.py
@@ -0,0 +1,148 @@
+"""Learn from another instance what the store's lists lack.
+
+After the store came back from a copy, its lists may lack upstreams and domains
+out that running instances still know, and have upstreams that have left.  An
+instance that starts then learns these from one that started before it; it would
+otherwise reset open flows whose cookies it does not know.
+"""
+
+import math
+from collections.abc import Iterator
+from typing import Final
+
+import msgspec
+
+from marlbend.clock import steady_seconds
+from marlbend.edge.node import Address, GossipNode
+from marlbend.errors import MarlbendError
+from marlbend.events import Event, emit
+from marlbend.http import Connection, RequestHandler, ServerResponse
+from marlbend.observe.control_traffic import (
+    Cause,
+    record_deferred,
+    record_sent,
+)
+from marlbend.steering.budgets import spend_any
+from marlbend.steering.documents import UpstreamEntry
+from marlbend.steering.state import Steering
+from marlbend.steering.upstreams_restored import (
+    add_unregistered,
+    hold_entry,
+    list_held,
+    list_unregistered,
+)
+from marlbend.topics.knowledge import Topic
+
+__all__ = ('can_learn_from', 'learn_unlisted', 'make_unlisted_handlers')
+
+FETCH_TIMEOUT_SECONDS: Final = 1.0
+_OK: Final = 200
+_UNAVAILABLE: Final = 503
+_PATH: Final = '/unlisted'
+
+
+class _Unlisted(msgspec.Struct, array_like=True, frozen=True):
+    """Carry what an instance knows beyond the store's lists.
+
+    `era` is that of its list of upstreams, and `uptime` the time since its
+    start in seconds.  `unregistered` holds the upstreams that are missing or
+    have ended.  `held` holds the entries of a copy that are not used, each with
+    the one that is.  `seconds_by_domain` holds how much longer a domain is kept
+    out that the list of domains out does not have.
+    """
+
+    era: int
+    uptime: float
+    unregistered: tuple[UpstreamEntry, ...]
+    held: tuple[tuple[UpstreamEntry, UpstreamEntry], ...]
+    seconds_by_domain: dict[str, float]
+
+
+_ENCODER: Final = msgspec.msgpack.Encoder()
+_DECODER: Final = msgspec.msgpack.Decoder(_Unlisted)
+
+
+def make_unlisted_handlers(node: GossipNode) -> dict[str, RequestHandler]:
+    """Return the HTTP handler that serves what the lists lack, by its path."""
+
+    def respond(query: str) -> ServerResponse:
+        body = _ENCODER.encode(_describe_unlisted(node, steady_seconds()))
+        bucket = node.steering.local_instance.budgets.topics
+        if not spend_any(bucket, len(body), steady_seconds()):
+            record_deferred(node.traffic, Cause.TOPIC, 1)
+            return _UNAVAILABLE, 'text/plain', b''
+        record_sent(node.traffic, Cause.TOPIC, len(body))
+        return _OK, 'application/msgpack', body
+
+    return {_PATH: respond}
+
+
+def can_learn_from(node: GossipNode, sender_era: int) -> bool:
+    """Return whether to ask an instance of an era for what the lists lack.
+
+    This instance must have the lists, and the other must know of the same
+    return of the store.
+    """
+    gossip = node.gossip
+    has_lists = (
+        gossip.revision_by_topic[Topic.UPSTREAMS]
+        and (gossip.revision_by_topic[Topic.DOMAINS_OUT])
+    )
+    is_same_era = sender_era == gossip.era_by_topic[Topic.UPSTREAMS]
+    return bool(has_lists and is_same_era and node.lessons_left)
+
+
+async def learn_unlisted(node: GossipNode, address: Address) -> None:
+    """Ask another instance, unless enough others have been asked.
+
+    The first one that started before this instance is enough.
+    """
+    node.lessons_left -= 1
+    connection = Connection(address)
+    try:
+        await _request_and_apply(node, connection)
+    except (MarlbendError, msgspec.DecodeError, RecursionError) as error:
+        emit(Event.UPDATE_FAILED, peer=address[0], error=error, kind='unlisted')
+    finally:
+        connection.close()
+
+
+async def _request_and_apply(node: GossipNode, connection: Connection) -> None:
+    response = await connection.request('GET', _PATH, FETCH_TIMEOUT_SECONDS)
+    # An instance of a former release does not have the path.
+    if response.status == _OK:
+        _apply(node, _DECODER.decode(response.body), steady_seconds())
+
+
+def _describe_unlisted(node: GossipNode, now: float) -> _Unlisted:
+    pool = node.steering.pool
+    return _Unlisted(
+        node.gossip.era_by_topic[Topic.UPSTREAMS],
+        now - node.started_at,
+        tuple(list_unregistered(pool)),
+        tuple(list_held(pool)),
+        dict(_list_kept_out(node.steering, now)),
+    )
+
+
+def _apply(node: GossipNode, unlisted: _Unlisted, now: float) -> None:
+    """Add to what this instance knows; replace nothing."""
+    steering = node.steering
+    if unlisted.era != node.gossip.era_by_topic[Topic.UPSTREAMS]:
+        return
+    for entry in unlisted.unregistered:
+        add_unregistered(steering.pool, entry, now)
+    for held, known in unlisted.held:
+        hold_entry(steering.pool, held, known, now)
+    for domain, seconds in unlisted.seconds_by_domain.items():
+        steering.domains_out.setdefault(domain, now + seconds)
+    if unlisted.uptime > now - node.started_at:
+        node.lessons_left = 0
+
+
+def _list_kept_out(
+    steering: Steering, now: float
+) -> Iterator[tuple[str, float]]:
+    for domain, returned_at in steering.domains_out.items():
+        if now < returned_at < math.inf:
+            yield domain, returned_at - now
