Order configurations of a plain fabric across a return by publication

On a plain fabric, a confirmed change of the configuration could go back after the store had come back from a copy, or one written after the return was not applied until the next one. Found by reading.

Cause: the number of a version in the new era is higher than all numbers of the former one, whatever the configuration is. Only a watcher that had run through the return knew better, and it took the first one that it read for the copy's. So an instance that started then, or became a reader, spread the copy's configuration to all; and a watcher that waited to retry, for up to 5 s, ignored what was written meanwhile.

Each configuration names its latest publications. Now, between two eras, one whose latest publication the other one names as well is the earlier of the two, and the later one stays in force, under the number of the new era; one that was written after the return is based on the copy, names neither, and is applied. An instance that has only read the copy takes the later one from a peer, whose number is lower or the same. Within an era the revision decides as before. A configuration without IDs does not replace one of a former era, as before.

--- a/marlbend/ownership/active.py
+++ b/marlbend/ownership/active.py
@@ -2,6 +2,10 @@
 
 A configuration whose version is not higher than the active one is ignored,
 whatever its source, so that the active configuration never reverts.
+
+Versions of different eras of the store say nothing about which configuration is
+later: the first one of an era may be older than the last one of the era before.
+Then the IDs of the publications tell.
 """
 
 import functools
@@ -19,6 +23,7 @@
 from marlbend.config.quarantine import RETIRED_UPSTREAM_SECONDS
 from marlbend.hashing import hash_number, hash_text, rendezvous_score
 from marlbend.ownership.upstreams import Upstream, UpstreamPool
+from marlbend.platform.client import find_era
 
 __all__ = (
     'PREVIOUS_OWNER_LOOKUP_SECONDS',
@@ -98,14 +103,38 @@
     document: Configuration,
     now: float,
 ) -> bool:
-    """Activate a configuration; return `False` if its version is old.
+    """Activate a configuration; return `False` if it is old.
 
-    `now` is monotonic time in seconds.  Where the change moves flows to other
+    One that the store lost stays active, under the version of the copy.  `now`
+    is monotonic time in seconds.  Where the change moves flows to other
     owners, these look the flows up at the previous owners for
     `PREVIOUS_OWNER_LOOKUP_SECONDS`.
     """
+    is_other_era = find_era(version) != find_era(active.version)
     if version <= active.version:
-        return False
+        may_be_lost = is_other_era or version == active.version
+        if not may_be_lost or not _is_based_on(document, active.document):
+            return False
+    elif is_other_era and (
+        # Without an ID, the one that is known to be confirmed stays.
+        not document.publications or _is_based_on(active.document, document)
+    ):
+        active.version = version
+        return True
+    _activate(active, document, now)
+    active.version = max(version, active.version)
+    return True
+
+
+def _is_based_on(document: Configuration, other: Configuration) -> bool:
+    """Return whether a configuration was made from another, or from a later."""
+    latest = other.publications[:1]
+    return bool(latest) and latest[0] in document.publications[1:]
+
+
+def _activate(
+    active: ActiveConfig, document: Configuration, now: float
+) -> None:
     specs = effective_services(document)
     services = {
         spec.service: _update_service(active, spec, now) for spec in specs
@@ -124,8 +153,6 @@
         for endpoint in _endpoint_keys(spec)
     }
     active.document = document
-    active.version = version
-    return True
 
 
 def _update_service(
--- a/marlbend/ownership/daemon/sync.py
+++ b/marlbend/ownership/daemon/sync.py
@@ -112,9 +112,11 @@
     active = instance.path.active
     if apply_configuration(active, version, document, now):
         instance.config_applied_at = now
-        instance.path.view.config_version = version
-        emit(Event.CONFIG_APPLIED, version=version)
-        instance.outbox.send_all(announce_config(instance.detector, version))
+        instance.path.view.config_version = active.version
+        emit(Event.CONFIG_APPLIED, version=active.version)
+        instance.outbox.send_all(
+            announce_config(instance.detector, active.version)
+        )
 
 
 def make_snapshot(instance: Instance) -> Snapshot:
--- a/marlbend/ownership/watch.py
+++ b/marlbend/ownership/watch.py
@@ -4,7 +4,8 @@
 may be stale.  The store may come back from a copy that lacks the last changes.
 Therefore a watch has its own timeout, failures are retried with
 exponential backoff and jitter, and an object is ignored unless its version is
-newer than the last one.
+newer than the last one.  The first one of an era may be older than the last one
+of the era before; `on_change` decides on it.
 """
 
 import asyncio
@@ -12,8 +13,6 @@
 from random import Random
 from typing import Final, final
 
-import msgspec
-
 from marlbend.errors import MarlbendError
 from marlbend.events import Event, emit
 from marlbend.platform.client import PlatformClient, VersionedBody
@@ -28,16 +27,13 @@
 class _WatchState:
     """Hold the last version seen and the current retry delay.
 
-    `last` is the last one passed on, and `seen` the last one of the store; they
-    differ after the store has come back from a copy.  `is_behind` is set while
-    versions come faster than they are read.  A watch returns each of them in
-    full; a read returns only the last one.
+    `is_behind` is set while versions come faster than they are read.  A watch
+    returns each of them in full; a read returns only the last one.
     """
 
-    __slots__ = ('backoff_seconds', 'is_behind', 'last', 'seen')
+    __slots__ = ('backoff_seconds', 'is_behind', 'seen')
 
     def __init__(self) -> None:
-        self.last = VersionedBody(0)
         self.seen = VersionedBody(0)
         self.is_behind = False
         self.backoff_seconds: float = 0
@@ -91,20 +87,15 @@
         return True
     if stored.version <= state.seen.version:
         return False
-    has_returned = stored.era > state.seen.era and state.last.revision > 0
-    state.seen = stored
-    if has_returned:
-        # The copy may lack the last change, which stays in force under the
-        # number of the copy's version until another one is written.
+    if stored.era > state.seen.era and state.seen.revision > 0:
         emit(
             Event.STORE_RETURNED,
             era=stored.era,
             kind='object',
             revision=stored.revision,
-            known=state.last.revision,
+            known=state.seen.revision,
         )
-        stored = msgspec.structs.replace(stored, body=state.last.body)
-    state.last = stored
+    state.seen = stored
     on_change(stored)
     return True
 
--- a/marlbend/platform/client.py
+++ b/marlbend/platform/client.py
@@ -28,6 +28,7 @@
     'VersionedBody',
     'WriteResult',
     'expect_status',
+    'find_era',
     'parse_url',
     'read_era',
 )
@@ -202,6 +203,14 @@
             connection.close()
 
 
+def find_era(version: int) -> int:
+    """Return a number that tells the era of a `VersionedBody.version`.
+
+    It is zero for the first era, and for a store without eras.
+    """
+    return version >> _REVISION_BITS
+
+
 def read_era(response: ClientResponse) -> int:
     """Return the era of the store that sent a response, zero without one.
 
--- a/marlbend/test/test_configuration_restored.py
+++ b/marlbend/test/test_configuration_restored.py
@@ -1,6 +1,7 @@
 """Keep the configuration on a plain fabric when the store goes back."""
 
 import asyncio
+from collections.abc import Callable, Coroutine
 from random import Random
 
 import msgspec
@@ -13,6 +14,8 @@
 from marlbend.platform.client import PlatformClient, VersionedBody
 from marlbend.test.edge import Fleet, run_with_fleet, wait_until
 
+Scenario = Coroutine[None, None, None]
+
 # The copy is from before the publication `b`.
 IN_COPY = Configuration((), publications=('a',))
 LOST = Configuration((), publications=('b', 'a'))
@@ -57,18 +60,24 @@
     assert active.document == IN_COPY
 
 
-def test_configuration_written_before_the_first_read_after_a_return() -> None:
-    """A watcher that waits to retry reads the new one first."""
-    active = ActiveConfig()
+def test_configuration_without_an_id_does_not_replace_a_lost_one() -> None:
+    active = make_active(number_in_era(1, 19), LOST)
+    apply_configuration(active, number_in_era(2, 12), Configuration(()), 0)
+    assert active.document == LOST
+
 
-    def apply(stored: VersionedBody) -> None:
-        document = decode_configuration(stored)
-        apply_configuration(active, stored.version, document, 0)
+def run_with_watcher(
+    scenario: Callable[[Fleet, ActiveConfig], Scenario],
+) -> None:
+    """Run beside a watcher that applies what it reads."""
 
-    async def publish(fleet: Fleet, document: Configuration) -> None:
-        await fleet.put(*CONFIG_PATH, msgspec.to_builtins(document))
+    async def run(fleet: Fleet) -> None:
+        active = ActiveConfig()
+
+        def apply(stored: VersionedBody) -> None:
+            document = decode_configuration(stored)
+            apply_configuration(active, stored.version, document, 0)
 
-    async def scenario(fleet: Fleet) -> None:
         await publish(fleet, IN_COPY)
         address, port = fleet.address
         platform = PlatformClient(f'http://{address}:{port}')
@@ -76,6 +85,20 @@
             watch_object(platform, CONFIG_PATH, apply, Random(1))
         )
         await wait_until(lambda: active.document == IN_COPY)
+        await scenario(fleet, active)
+        watcher.cancel()
+
+    run_with_fleet(run)
+
+
+async def publish(fleet: Fleet, document: Configuration) -> None:
+    await fleet.put(*CONFIG_PATH, msgspec.to_builtins(document))
+
+
+def test_configuration_written_before_the_first_read_after_a_return() -> None:
+    """A watcher that waits to retry reads the new one first."""
+
+    async def scenario(fleet: Fleet, active: ActiveConfig) -> None:
         copy = copy_store(fleet.store)
         await publish(fleet, LOST)
         await wait_until(lambda: active.document == LOST)
@@ -86,6 +109,25 @@
         await set_faults(fleet.store, Faults())
         await wait_until(lambda: active.version >= number_in_era(2, 0))
         assert active.document == WRITTEN_SINCE
-        watcher.cancel()
 
-    run_with_fleet(scenario)
+    run_with_watcher(scenario)
+
+
+def test_watched_configuration_does_not_go_back_on_a_plain_fabric() -> None:
+    async def scenario(fleet: Fleet, active: ActiveConfig) -> None:
+        copy = copy_store(fleet.store)
+        lost = IN_COPY
+        for number in range(4, 20):
+            ids = (str(number), *lost.publications)
+            lost = Configuration((), publications=ids)
+            await publish(fleet, lost)
+        await wait_until(lambda: active.document == lost)
+        await restore_copy(fleet.store, copy)
+        await wait_until(lambda: active.version >= number_in_era(2, 0))
+        version = active.version
+        assert active.document == lost
+        await publish(fleet, WRITTEN_SINCE)
+        await wait_until(lambda: active.document == WRITTEN_SINCE)
+        assert active.version > version
+
+    run_with_watcher(scenario)
--- a/marlbend/test/test_store_return.py
+++ b/marlbend/test/test_store_return.py
@@ -1,15 +1,11 @@
 """Run instances on a store that comes back from a copy some seconds old."""
 
 import asyncio
-import json
-from random import Random
 
 import pytest
 
 from bench.store import Faults, copy_store, restore_copy, set_faults
 from marlbend.clock import steady_seconds
-from marlbend.ownership.watch import watch_object
-from marlbend.platform.client import PlatformClient, VersionedBody
 from marlbend.test.edge import Fleet, Instance, run_with_fleet, wait_until
 from marlbend.topics.knowledge import Topic
 
@@ -260,39 +256,6 @@
     run_with_fleet(scenario)
 
 
-def test_watched_object_does_not_go_back_on_a_plain_fabric() -> None:
-    async def scenario(fleet: Fleet) -> None:
-        seen: list[VersionedBody] = []
-        address, port = fleet.address
-        watcher = asyncio.create_task(
-            watch_object(
-                PlatformClient(f'http://{address}:{port}'),
-                ('config', 'main'),
-                seen.append,
-                Random(1),
-            )
-        )
-        await wait_until(lambda: len(seen) == 1)
-        copy = copy_store(fleet.store)
-        for version in range(4, 20):
-            await fleet.publish(version)
-        await wait_until(lambda: version_of(seen[-1]) == 19)
-        await restore_copy(fleet.store, copy)
-        await wait_until(lambda: seen[-1].era == 2)
-        assert version_of(seen[-1]) == 19
-        await fleet.publish(21)
-        await wait_until(lambda: version_of(seen[-1]) == 21)
-        numbers = [each.version for each in seen]
-        assert numbers == sorted(numbers)
-        watcher.cancel()
-
-    run_with_fleet(scenario)
-
-
-def version_of(stored: VersionedBody) -> int:
-    return int(json.loads(bytes(stored.body))['version'])
-
-
 def is_in_era(
     instance: Instance, era: int, topic: Topic = Topic.UPSTREAMS
 ) -> bool:
