Let the soak keep an upstream without a registration and flows idle

The soak did not find the fault of open flows: each registration that the copy lacked was written again within 3 s, and callers paused for 0.8 s at most, so that responses always proved the upstream alive.

Schedules and bounds stay as they are.

A test plays two returns within a second; it holds.

--- a/bench/endpoints/callers.py
+++ b/bench/endpoints/callers.py
@@ -60,6 +60,7 @@
     endpoint: Endpoint
     at_most_once: bool
     requests: int
+    pause_seconds: tuple[float, float] = REQUEST_PAUSE_SECONDS
 
 
 class FlowEnded(Exception):
@@ -114,7 +115,7 @@
     flow: CallerFlow | None = None
     for number in range(route.requests):
         if number:
-            pause_seconds = caller.random.uniform(*REQUEST_PAUSE_SECONDS)
+            pause_seconds = caller.random.uniform(*route.pause_seconds)
             await asyncio.sleep(pause_seconds)
         flow = await _send_with_retries(caller, route, f'{name}.{number}', flow)
     if flow is not None:
--- a/marlbend/test/test_store_return.py
+++ b/marlbend/test/test_store_return.py
@@ -56,6 +56,34 @@
     run_with_fleet(scenario)
 
 
+def test_changes_after_two_returns_within_seconds_are_not_missed() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        instances = await start_fleet(fleet, 4)
+        copy = copy_store(fleet.store)
+        await fleet.register('i-2')
+        await fleet.publish(5)
+        await wait_until(lambda: all(each.version == 5 for each in instances))
+        await restore_copy(fleet.store, copy)
+        await asyncio.sleep(0.2)
+        await fleet.register('i-3')
+        await asyncio.sleep(0.4)
+        await restore_copy(fleet.store, copy)
+        await fleet.publish(8)
+        await fleet.register('i-4')
+        async with asyncio.timeout(CHANGE_LIMIT_SECONDS):
+            await wait_until(
+                lambda: all(
+                    each.version == 8 and 'i-4' in each.upstreams
+                    for each in instances
+                )
+            )
+        for instance in instances:
+            assert is_in_era(instance, 3)
+            assert not instance.steering.pool.by_name['i-2'].ended_at
+
+    run_with_fleet(scenario)
+
+
 def test_return_does_not_make_instances_call_the_store_without_a_pause() -> (
     None
 ):
--- a/soak/load_generator.py
+++ b/soak/load_generator.py
@@ -1,4 +1,4 @@
-"""Generate load: a steady rate of callers, route probes, and bursts."""
+"""Generate load: a steady rate of callers, idle flows, probes, and bursts."""
 
 import asyncio
 from contextlib import suppress
@@ -9,7 +9,7 @@
 from soak.run_state import DOMAINS, ROUTES, SWITCHING_ENDPOINT, Run, marker_of
 from soak.schedule import Step
 
-__all__ = ('send_burst', 'send_load', 'send_route_probes')
+__all__ = ('send_burst', 'send_idle_load', 'send_load', 'send_route_probes')
 
 # Flows that the callers of each domain start.  A flow carries up to eight
 # requests, depending on its route.
@@ -18,6 +18,11 @@
 # Number of latest releases whose marker routes are probed.
 PROBED_RELEASES: Final = 5
 BURST_FLOWS: Final = 150
+# Instances take an upstream for alive for 2.2 s after its last response; flows
+# that are idle for longer give no such proof.
+IDLE_SECONDS: Final = (3.0, 8.0)
+IDLE_FLOWS_PER_SECOND: Final = 2.0
+IDLE_FLOW_REQUESTS: Final = 4
 
 
 async def send_burst(run: Run, step: Step, random: Random) -> None:
@@ -51,6 +56,25 @@
         await asyncio.sleep(1 / FLOWS_PER_SECOND)
 
 
+async def send_idle_load(run: Run) -> None:
+    """Start callers with long pauses between requests until the run stops."""
+    route = Route(
+        ROUTES[0].endpoint,
+        at_most_once=False,
+        requests=IDLE_FLOW_REQUESTS,
+        pause_seconds=IDLE_SECONDS,
+    )
+    number = 0
+    while not run.fleet.stopping:
+        number += 1
+        domain = run.random.choice(DOMAINS)
+        coroutine = send_requests(
+            run.caller_by_domain[domain], route, f'idle{number}'
+        )
+        _track(run, asyncio.create_task(coroutine))
+        await asyncio.sleep(1 / IDLE_FLOWS_PER_SECOND)
+
+
 async def send_route_probes(run: Run) -> None:
     """Open flows on added and dropped marker routes, at each ready instance."""
     while not run.fleet.stopping:
--- a/soak/platform.py
+++ b/soak/platform.py
@@ -43,6 +43,9 @@
 MAX_OUTAGE_SECONDS: Final = 1.0
 # Writers write again within this time of the store's return from a copy.
 MAX_REWRITE_SECONDS: Final = 3.0
+# An upstream may serve without a registration for longer than the instances
+# wait for it to be written again.
+UNREGISTERED_SECONDS: Final = 14.0
 STORM_RELEASES: Final = 6
 STORM_INTERVAL_SECONDS: Final = 0.15
 NAME_COUNT: Final = 1_000_000
@@ -88,6 +91,7 @@
     """Let the store come back from a copy that is as old as the step is long.
 
     Operators and upstreams write again what the copy lacks, each in its time.
+    One upstream whose registration is dropped at the return does so much later.
     """
     copy = copy_store(run.store)
     await asyncio.sleep(step.seconds)
@@ -106,6 +110,21 @@
                     group.create_task(
                         _write_again(run, path, (kept, lost.get(path)), delay)
                     )
+    ready = list_ready_upstreams(run)
+    if ready:
+        task = asyncio.create_task(_write_late(run, random.choice(ready)))
+        run.tasks.add(task)
+        task.add_done_callback(run.tasks.discard)
+
+
+async def _write_late(run: Run, upstream: UpstreamServer) -> None:
+    """Drop a registration and let the upstream serve on without it."""
+    await _expire_registration(run, upstream)
+    await asyncio.sleep(UNREGISTERED_SECONDS)
+    path = ('servers', upstream.name)
+    is_absent = path not in run.store.object_by_path
+    if is_absent and upstream.state is UpstreamState.READY:
+        await write_registration(run, upstream)
 
 
 async def _write_again(
--- a/soak/run.py
+++ b/soak/run.py
@@ -13,7 +13,11 @@
 from soak.calls import watch_calls
 from soak.checker import Finding, report
 from soak.faults import inject_faults
-from soak.load_generator import send_load, send_route_probes
+from soak.load_generator import (
+    send_idle_load,
+    send_load,
+    send_route_probes,
+)
 from soak.run_state import Run
 from soak.schedule import RECOVERY_MEASURED_SECONDS, Schedule
 from soak.starvation import watch_cpu_starvation
@@ -77,6 +81,7 @@
             watch_cpu_starvation(run),
             send_route_probes(run),
             send_load(run),
+            send_idle_load(run),
             watch_calls(run),
         )
     ]
