--- a/marlbend/steering/failure_detection.py
+++ b/marlbend/steering/failure_detection.py
@@ -25,6 +25,7 @@
     'detect_partition',
     'is_given_up',
     'is_presumed_dead',
+    'is_silent_unregistered',
     'is_suspected',
 )
 
@@ -153,15 +154,22 @@
 
 
 def is_given_up(upstream: Upstream, now: float) -> bool:
-    """Return whether the open flows of an upstream without registration end.
+    """Return whether all open flows of an upstream without registration end.
 
     A registration that is gone ends no open flow by itself: the store may have
     lost it, and the upstream may be unable to write it again.  With it gone,
-    unanswered packets that this instance alone saw are proof enough.
+    unanswered packets that this instance alone saw lately are proof enough.
 
     Designed for a store that loses writes, and for flows that were idle while
     their upstream left; these get a reset after one retransmission.
     """
+    last_unanswered_at = upstream.liveness.last_unanswered_at
+    is_recent = now - last_unanswered_at < EVIDENCE_MAX_AGE_SECONDS
+    return is_recent and is_silent_unregistered(upstream, now)
+
+
+def is_silent_unregistered(upstream: Upstream, now: float) -> bool:
+    """Return whether a flow ends whose own data went unanswered just now."""
     if not upstream.ended_at or not upstream.liveness.unanswered:
         return False
     starts = [
--- a/marlbend/steering/steer.py
+++ b/marlbend/steering/steer.py
@@ -14,7 +14,11 @@
 
 from marlbend.steering.budgets import spend
 from marlbend.steering.choice import choose_ejected, choose_upstream
-from marlbend.steering.failure_detection import is_given_up, is_presumed_dead
+from marlbend.steering.failure_detection import (
+    is_given_up,
+    is_presumed_dead,
+    is_silent_unregistered,
+)
 from marlbend.steering.flows import (
     add_flow,
     move_flow,
@@ -275,7 +279,7 @@
     While the upstream is registered, the requests of the route must be
     idempotent, so that the caller may repeat them on another flow at once.
     """
-    if is_given_up(upstream, steering.now):
+    if is_silent_unregistered(upstream, steering.now):
         _reset_flow(steering, packet, upstream, Outcome.RESET_ENDED)
         return True
     if route.spec.repeatable and is_presumed_dead(steering, upstream):
