Never use a draining upstream again because the store kept its old entry

If the copy has an upstream as ready that drains, the entry is held. After 10 s it was registered, since the store had kept it; but heartbeats keep an entry and do not change it, so the upstream may still be draining, and would get new flows. Found by reading; no play has shown it.

A draining upstream does not accept flows again before its next start, which has another time of birth. So its held entry is never used.

test_draining_upstream_is_not_used_again_because_the_store_kept_it failed before.

--- a/marlbend/steering/upstreams_restored.py
+++ b/marlbend/steering/upstreams_restored.py
@@ -162,8 +162,16 @@
 ) -> Iterator[UpstreamEntry]:
     """Yield the held entries that the store has kept for long enough.
 
-    Those of upstreams that are gone have expired by then.
+    Those of upstreams that are gone have expired by then.  One that drains
+    never accepts flows again before its next start; the store may keep its
+    entry as it was, since heartbeats do not change it.
     """
-    for held in tuple(pool.held_by_name.values()):
-        if confirmed_until - held.since > REWRITE_SECONDS:
+    for name, held in tuple(pool.held_by_name.items()):
+        known = pool.by_name.get(name)
+        is_draining = (
+            known is not None
+            and known.entry.born == held.entry.born
+            and not known.entry.accepting
+        )
+        if not is_draining and confirmed_until - held.since > REWRITE_SECONDS:
             yield held.entry
--- a/marlbend/test/test_upstreams_restored.py
+++ b/marlbend/test/test_upstreams_restored.py
@@ -75,6 +75,15 @@
     assert list_ended(pool, dropped_at + MISSING_SECONDS + 0.1)
 
 
+def test_draining_upstream_is_not_used_again_because_the_store_kept_it() -> (
+    None
+):
+    pool = make_pool('draining')
+    assert restore_entry(pool, ENTRY, RETURNED_AT) is None
+    kept_at = RETURNED_AT + REWRITE_SECONDS + 0.1
+    assert not list(list_confirmed_entries(pool, kept_at))
+
+
 def test_started_instance_holds_the_entry_of_an_upstream_that_drained() -> None:
     pool = make_pool()
     draining = make_entry('a1', 'catalog', 'a', ('draining',))
