Take a domain that is back for cold after the store's return

Cause, by the logs: its domain had been out, and it had written that it was cold while the instances could not read the store; the copy lacked that.

Now the upstreams of a domain that is back within 10 s of the return count as cold for those 10 s, unless they write otherwise meanwhile.

test_domain_back_after_a_return_does_not_count_as_warm failed before. An instance that starts within those 10 s does not know of the return and is not covered.

--- a/marlbend/edge/maintenance.py
+++ b/marlbend/edge/maintenance.py
@@ -19,6 +19,7 @@
 from marlbend.steering.flows import expire_flows
 from marlbend.steering.gossip import list_live_members
 from marlbend.steering.upstreams import expire_upstreams
+from marlbend.steering.upstreams_restored import keep_domain_cold
 from marlbend.topics.contents import register_kept_entries
 from marlbend.topics.knowledge import Topic
 
@@ -114,4 +115,5 @@
     for domain, returned_at in tuple(steering.domains_out.items()):
         if steering.upstreams_confirmed_at >= returned_at:
             steering.domains_out.pop(domain)
+            keep_domain_cold(steering.pool, domain)
             emit(Event.DOMAIN_STATE_CHANGED, domain=domain, state='in')
--- a/marlbend/steering/upstreams.py
+++ b/marlbend/steering/upstreams.py
@@ -184,16 +184,25 @@
     """Hold the registered upstreams, and those that ended recently.
 
     `held_by_name` holds registrations that only a copy of the store has, and
-    `lost` the names of those that it lacks, with the time of its return; see
+    `lost` the names of those that it lacks, with the time of its return.
+    `returned_at` is when the store last came back from a copy.  See
     `marlbend.steering.upstreams_restored`.
     """
 
-    __slots__ = ('by_cookie', 'by_name', 'by_service', 'held_by_name', 'lost')
+    __slots__ = (
+        'by_cookie',
+        'by_name',
+        'by_service',
+        'held_by_name',
+        'lost',
+        'returned_at',
+    )
 
     def __init__(self) -> None:
         """Initialize as empty."""
         self.held_by_name: dict[str, HeldEntry] = {}
         self.lost: dict[str, float] = {}
+        self.returned_at = float('-inf')
         self.by_name: dict[str, Upstream] = {}
         self.by_cookie: dict[int, Upstream] = {}
         self.by_service: dict[str, dict[str, Upstream]] = {}
--- a/marlbend/steering/upstreams_restored.py
+++ b/marlbend/steering/upstreams_restored.py
@@ -31,6 +31,7 @@
     'add_unregistered',
     'hold_entry',
     'is_held',
+    'keep_domain_cold',
     'list_confirmed_entries',
     'list_held',
     'list_unregistered',
@@ -65,6 +66,18 @@
     return msgspec.structs.replace(entry, cold_seconds=cold_seconds)
 
 
+def keep_domain_cold(pool: UpstreamPool, domain: str) -> None:
+    """Take the upstreams of a domain that is back for cold after a return.
+
+    The operator may write again that it is back before they write again that
+    they are cold.
+    """
+    cold_until = pool.returned_at + REWRITE_SECONDS
+    for known in pool.by_name.values():
+        if known.entry.domain == domain:
+            known.cold_until = max(known.cold_until, cold_until)
+
+
 def lose_registration(pool: UpstreamPool, name: str, now: float) -> None:
     """Keep an upstream that the copy lacks, until it registers again.
 
--- a/marlbend/test/test_upstreams_restored.py
+++ b/marlbend/test/test_upstreams_restored.py
@@ -1,5 +1,6 @@
 """Decide on upstreams after a return of the store, without a network."""
 
+from marlbend.edge.maintenance import restore_domains
 from marlbend.steering import Upstream
 from marlbend.steering.upstreams import (
     MISSING_SECONDS,
@@ -17,7 +18,7 @@
     release_absent,
     restore_entry,
 )
-from marlbend.test.steering import make_entry
+from marlbend.test.steering import SteeringDriver, make_entry
 
 START = 1000.0
 RETURNED_AT = START + 1.5
@@ -75,6 +76,33 @@
     assert list_ended(pool, dropped_at + MISSING_SECONDS + 0.1)
 
 
+def test_domain_back_after_a_return_does_not_count_as_warm() -> None:
+    """Its upstreams may write that they are cold after the operator writes."""
+    driver = SteeringDriver()
+    pool = driver.steering.pool
+    driver.upstream('a1', 'catalog', 'a')
+    driver.upstream('b1', 'catalog', 'b')
+    pool.returned_at = START
+    driver.steering.domains_out['a'] = START + 1
+    driver.steering.upstreams_confirmed_at = START + 2
+    restore_domains(driver.steering)
+    assert 'a' not in driver.steering.domains_out
+    assert pool.by_name['a1'].cold_until == START + REWRITE_SECONDS
+    assert pool.by_name['b1'].cold_until <= START
+
+
+def test_domain_back_long_after_a_return_counts_as_its_upstreams_write() -> (
+    None
+):
+    driver = SteeringDriver()
+    driver.upstream('a1', 'catalog', 'a')
+    driver.steering.pool.returned_at = START - REWRITE_SECONDS
+    driver.steering.domains_out['a'] = START + 1
+    driver.steering.upstreams_confirmed_at = START + 2
+    restore_domains(driver.steering)
+    assert driver.steering.pool.by_name['a1'].cold_until <= START
+
+
 def test_draining_upstream_is_not_used_again_because_the_store_kept_it() -> (
     None
 ):
--- a/marlbend/topics/contents.py
+++ b/marlbend/topics/contents.py
@@ -252,24 +252,38 @@
 ) -> None:
     now = steady_seconds()
     pool = steering.pool
-    for entry in entries:
-        current = restore_entry(pool, entry, now) if is_restored else entry
-        if current is None:
-            _log_restored(steering, entry.name, 'held')
-        elif not is_held(pool, current):
-            _register(steering, current)
-    present = (each.name for each in entries)
+    if is_restored:
+        pool.returned_at = now
+        entries_in_use = list(_restore_entries(steering, entries, now))
+    else:
+        entries_in_use = entries
+    for entry in entries_in_use:
+        if not is_held(pool, entry):
+            _register(steering, entry)
+    present = {each.name for each in entries}
     for name in registered_names_except(pool, present):
         if is_restored:
             _log_restored(steering, name, 'lost')
             lose_registration(pool, name, now)
         else:
             _unregister(steering, name)
-    for name in release_absent(pool, {each.name for each in entries}, now):
+    for name in release_absent(pool, present, now):
         _log_restored(steering, name, 'removed')
     steering.upstreams_known = True
 
 
+def _restore_entries(
+    steering: Steering, entries: Iterable[UpstreamEntry], now: float
+) -> Iterator[UpstreamEntry]:
+    """Yield what to register of the entries of a copy."""
+    for entry in entries:
+        current = restore_entry(steering.pool, entry, now)
+        if current is None:
+            _log_restored(steering, entry.name, 'held')
+        else:
+            yield current
+
+
 def _apply_upstream(
     steering: Steering,
     stored: StoredObject,
