Record the first revision of an era in one function

log_return, enter_era and update_revision were always called together, in that order. No behaviour changes.

--- a/marlbend/topics/contents.py
+++ b/marlbend/topics/contents.py
@@ -26,7 +26,6 @@
     decode_upstream,
 )
 from marlbend.steering.documents import Publication, UpstreamEntry
-from marlbend.steering.gossip import GossipState
 from marlbend.steering.routes import update_routes
 from marlbend.steering.state import OUT_INDEFINITELY, Steering
 from marlbend.steering.upstreams import (
@@ -55,7 +54,6 @@
     'apply_upstream_entries',
     'decode_topic',
     'encode_topic',
-    'log_return',
     'register_kept_entries',
 )
 
@@ -212,23 +210,6 @@
         _apply_all_domains(steering, names, is_restored=is_restored)
 
 
-def log_return(
-    gossip: GossipState, topic: Topic, era: int, revision: int
-) -> None:
-    """Log that the store came back from a copy, unless this is its first era.
-
-    Call it before the new era is recorded.
-    """
-    if gossip.era_by_topic[topic]:
-        emit(
-            Event.STORE_RETURNED,
-            era=era,
-            kind=topic.name.lower(),
-            revision=revision,
-            known=gossip.revision_by_topic[topic],
-        )
-
-
 def _apply_configuration(
     steering: Steering,
     stored: StoredObject,
--- a/marlbend/topics/fetching.py
+++ b/marlbend/topics/fetching.py
@@ -32,7 +32,6 @@
     apply_topic,
     decode_topic,
     encode_topic,
-    log_return,
 )
 from marlbend.topics.history import list_since
 from marlbend.topics.knowledge import (
@@ -263,9 +262,9 @@
     is_restored = has_returned and gossip.revision_by_topic[topic] > 0
     apply_topic(node.steering, topic, topic_contents, is_restored=is_restored)
     if has_returned:
-        log_return(gossip, topic, reply.era, reply.revision)
-        enter_era(gossip, topic, reply.era)
-    update_revision(gossip, topic, reply.revision)
+        enter_era(gossip, topic, reply.era, reply.revision)
+    else:
+        update_revision(gossip, topic, reply.revision)
 
 
 def _record_fetch(
--- a/marlbend/topics/knowledge.py
+++ b/marlbend/topics/knowledge.py
@@ -10,6 +10,7 @@
 import os
 from typing import Final, final
 
+from marlbend.events import Event, emit
 from marlbend.observe.transfers import TopicTransfers
 from marlbend.steering.members import age_in_milliseconds
 from marlbend.topics.history import RecentChanges, forget_changes
@@ -121,14 +122,25 @@
         )
 
 
-def enter_era(knowledge: Knowledge, topic: Topic, era: int) -> None:
-    """Forget the revision of a former era, and the changes up to it.
+def enter_era(
+    knowledge: Knowledge, topic: Topic, era: int, revision: int
+) -> None:
+    """Record the first revision of an era, and forget the changes before it.
 
-    The time of confirmation stays: what is known was the latest then.
+    Log that the store came back from a copy, unless this is its first era.  The
+    time of confirmation stays: what is known was the latest then.
     """
+    if knowledge.era_by_topic[topic]:
+        emit(
+            Event.STORE_RETURNED,
+            era=era,
+            kind=topic.name.lower(),
+            revision=revision,
+            known=knowledge.revision_by_topic[topic],
+        )
     knowledge.era_by_topic[topic] = era
-    knowledge.revision_by_topic[topic] = 0
     forget_changes(knowledge.recent_changes, topic)
+    update_revision(knowledge, topic, revision)
 
 
 def is_known(topic_number: int) -> bool:
--- a/marlbend/topics/reader.py
+++ b/marlbend/topics/reader.py
@@ -47,14 +47,12 @@
 from marlbend.topics.contents import (
     apply_list,
     apply_object_changes,
-    log_return,
 )
 from marlbend.topics.knowledge import (
     Topic,
     confirm_revision,
     enter_era,
     record_recovery,
-    update_revision,
 )
 from marlbend.wire.heartbeats import TopicChanges
 
@@ -259,9 +257,7 @@
         return _describe_list(watcher, known_revision, revision, previous)
     is_restored = known_revision > 0
     apply_list(watcher.steering, topic, listed, is_restored=is_restored)
-    log_return(gossip, topic, era, revision)
-    enter_era(gossip, topic, era)
-    update_revision(gossip, topic, revision)
+    enter_era(gossip, topic, era, revision)
     return _no_changes(watcher, revision)
 
 
