Do not expect flows to an upstream without a registration in the soak

The check leaves out exactly the upstream that the soak itself keeps without a registration; the others are checked as before.

--- a/soak/platform.py
+++ b/soak/platform.py
@@ -120,7 +120,9 @@
 async def _write_late(run: Run, upstream: UpstreamServer) -> None:
     """Drop a registration and let the upstream serve on without it."""
     await _expire_registration(run, upstream)
+    run.unregistered.add(upstream.name)
     await asyncio.sleep(UNREGISTERED_SECONDS)
+    run.unregistered.discard(upstream.name)
     path = ('servers', upstream.name)
     is_absent = path not in run.store.object_by_path
     if is_absent and upstream.state is UpstreamState.READY:
--- a/soak/run_state.py
+++ b/soak/run_state.py
@@ -75,6 +75,7 @@
     `pinned_instance_by_port` names the instance that gets the packets of a
     caller's port instead of the one that the routers would choose.
     `domains_out` holds the domains that an operator has taken out.
+    `unregistered` names the upstreams that serve without a registration.
     `idle_routes` is the number of routes without traffic in each release.
     `starved_seconds` is the total time in which the machine starved the run's
     processes of CPU time.
@@ -90,6 +91,7 @@
     starved_seconds: float = 0
     idle_routes: int = 0
     domains_out: set[str] = set()
+    unregistered: set[str] = set()
     tasks: set[asyncio.Task[None]] = set()
 
     @property
--- a/soak/traffic.py
+++ b/soak/traffic.py
@@ -163,6 +163,9 @@
     # `cold_until` stays set after the warm-up.
     if upstream.state is not UpstreamState.READY or upstream.cold_until:
         return False
+    # Without a registration it counts as gone, though it serves.
+    if upstream.name in run.unregistered:
+        return False
     checker = run.checker
     quiet = checker.disturbances.is_quiet(QUIET_SECONDS, upstream.name)
     return quiet and upstream.domain not in run.domains_out
