Let a started instance use upstreams that are only missing to others

Cause, by the logs: its registrations had lapsed while the store was down. The others still used these upstreams as a second choice. The started instance learned them as ended, held their entries when the store came back from a copy, and had no upstream until the entries had been kept for 10 s.

Now an instance tells which upstreams have ended and which are only missing; the latter are a second choice for the other too, and have 10 s to register.

test_started_instance_may_use_an_upstream_that_is_only_missing failed before.

--- a/marlbend/steering/upstreams_restored.py
+++ b/marlbend/steering/upstreams_restored.py
@@ -89,17 +89,20 @@
         pool.lost[name] = now
 
 
-def list_unregistered(pool: UpstreamPool) -> Iterator[UpstreamEntry]:
-    """Yield the entries of upstreams that are missing or have ended."""
+def list_unregistered(
+    pool: UpstreamPool, *, is_ended: bool
+) -> Iterator[UpstreamEntry]:
+    """Yield the entries of upstreams that have ended, or are only missing."""
     for known in pool.by_name.values():
-        if known.missing_since or known.ended_at:
+        is_unregistered = known.missing_since > 0 or known.ended_at > 0
+        if is_unregistered and is_ended == (known.ended_at > 0):
             yield known.entry
 
 
 def add_unregistered(
-    pool: UpstreamPool, entry: UpstreamEntry, now: float
+    pool: UpstreamPool, entry: UpstreamEntry, now: float, *, is_ended: bool
 ) -> None:
-    """Add an upstream that another instance knows, for its open flows only.
+    """Add an upstream that another instance knows as ended or missing.
 
     Do nothing if it is known, or if its cookie is in use.
     """
@@ -109,8 +112,9 @@
     ):
         return
     register_upstream(pool, entry, now)
-    mark_missing(pool, entry.name, now)
-    end_upstream(pool, entry.name, now)
+    lose_registration(pool, entry.name, now)
+    if is_ended:
+        end_upstream(pool, entry.name, now)
 
 
 def list_held(
--- a/marlbend/test/test_upstreams_restored.py
+++ b/marlbend/test/test_upstreams_restored.py
@@ -11,6 +11,7 @@
     register_upstream,
 )
 from marlbend.steering.upstreams_restored import (
+    add_unregistered,
     hold_entry,
     is_held,
     list_confirmed_entries,
@@ -121,6 +122,20 @@
     assert not pool.by_name['a1'].missing_since
 
 
+def test_started_instance_may_use_an_upstream_that_is_only_missing() -> None:
+    """It would reject all flows of a service whose registrations lapsed."""
+    driver = SteeringDriver()
+    driver.route('web', 'catalog')
+    add_unregistered(driver.steering.pool, ENTRY, START, is_ended=False)
+    driver.steering.upstreams_known = True
+    driver.open('f1', 'web')
+    assert driver.sent == ['a1']
+    driver.establish('f1')
+    driver.wait(str(REWRITE_SECONDS + 0.1))
+    driver.open('f2', 'web')
+    assert driver.sent[-1] == 'reset'
+
+
 def test_started_instance_holds_the_entry_of_an_upstream_that_left() -> None:
     pool = make_pool()
     hold_entry(pool, ENTRY, ENTRY, RETURNED_AT)
--- a/marlbend/topics/unlisted.py
+++ b/marlbend/topics/unlisted.py
@@ -45,15 +45,16 @@
     """Carry what an instance knows beyond the store's lists.
 
     `era` is that of its list of upstreams, and `uptime` the time since its
-    start in seconds.  `unregistered` holds the upstreams that are missing or
-    have ended.  `held` holds the entries of a copy that are not used, each with
-    the one that is.  `seconds_by_domain` holds how much longer a domain is kept
-    out that the list of domains out does not have.
+    start in seconds.  `missing` and `ended` hold the upstreams without a
+    registration.  `held` holds the entries of a copy that are not used, each
+    with the one that is.  `seconds_by_domain` holds how much longer a domain is
+    kept out that the list of domains out does not have.
     """
 
     era: int
     uptime: float
-    unregistered: tuple[UpstreamEntry, ...]
+    missing: tuple[UpstreamEntry, ...]
+    ended: tuple[UpstreamEntry, ...]
     held: tuple[tuple[UpstreamEntry, UpstreamEntry], ...]
     seconds_by_domain: dict[str, float]
 
@@ -119,7 +120,8 @@
     return _Unlisted(
         node.gossip.era_by_topic[Topic.UPSTREAMS],
         now - node.started_at,
-        tuple(list_unregistered(pool)),
+        tuple(list_unregistered(pool, is_ended=False)),
+        tuple(list_unregistered(pool, is_ended=True)),
         tuple(list_held(pool)),
         dict(_list_kept_out(node.steering, now)),
     )
@@ -130,8 +132,10 @@
     steering = node.steering
     if unlisted.era != node.gossip.era_by_topic[Topic.UPSTREAMS]:
         return
-    for entry in unlisted.unregistered:
-        add_unregistered(steering.pool, entry, now)
+    for missing in unlisted.missing:
+        add_unregistered(steering.pool, missing, now, is_ended=False)
+    for ended in unlisted.ended:
+        add_unregistered(steering.pool, ended, now, is_ended=True)
     for held, known in unlisted.held:
         hold_entry(steering.pool, held, known, now)
     for domain, seconds in unlisted.seconds_by_domain.items():
