Keep a domain out after a return for as long as operators need

So the domain is now kept out for the 10 s that upstreams have as well.

test_domain_out_that_is_not_written_again_does_not_stay_out failed before.

--- a/marlbend/steering/upstreams.py
+++ b/marlbend/steering/upstreams.py
@@ -22,8 +22,8 @@
 # in an outage of the platform: live upstreams register again within two seconds
 # of the end of the outage.
 MISSING_SECONDS: Final = 2.2
-# After the store came back from a copy, upstreams write their registrations
-# again, and those of dead ones expire, within this time.
+# After the store came back from a copy, upstreams and operators write again
+# what it lacks, and registrations of dead upstreams expire, within this time.
 REWRITE_SECONDS: Final = 10.0
 # The cookie of an ended upstream is kept for this long; no flow is older than a
 # minute.
--- a/marlbend/test/test_upstreams_restored.py
+++ b/marlbend/test/test_upstreams_restored.py
@@ -1,7 +1,9 @@
 """Decide on upstreams after a return of the store, without a network."""
 
+from marlbend.clock import steady_seconds
 from marlbend.edge.maintenance import restore_domains
 from marlbend.steering import Upstream
+from marlbend.steering.state import OUT_INDEFINITELY
 from marlbend.steering.upstreams import (
     MISSING_SECONDS,
     REWRITE_SECONDS,
@@ -20,6 +22,8 @@
     restore_entry,
 )
 from marlbend.test.steering import SteeringDriver, make_entry
+from marlbend.topics.contents import apply_topic
+from marlbend.topics.knowledge import Topic
 
 START = 1000.0
 RETURNED_AT = START + 1.5
@@ -92,6 +96,18 @@
     assert pool.by_name['b1'].cold_until <= START
 
 
+def test_domain_out_that_is_not_written_again_does_not_stay_out() -> None:
+    """Its removal may have been lost, and its callers would be rejected."""
+    steering = SteeringDriver().steering
+    steering.domains_out['a'] = OUT_INDEFINITELY
+    before = steady_seconds()
+    apply_topic(steering, Topic.DOMAINS_OUT, (), is_restored=True)
+    until = steering.domains_out['a']
+    assert (
+        before + REWRITE_SECONDS <= until <= steady_seconds() + REWRITE_SECONDS
+    )
+
+
 def test_domain_back_long_after_a_return_counts_as_its_upstreams_write() -> (
     None
 ):
--- a/marlbend/topics/contents.py
+++ b/marlbend/topics/contents.py
@@ -29,6 +29,7 @@
 from marlbend.steering.routes import update_routes
 from marlbend.steering.state import OUT_INDEFINITELY, Steering
 from marlbend.steering.upstreams import (
+    REWRITE_SECONDS,
     end_upstream,
     mark_missing,
     register_upstream,
@@ -69,10 +70,6 @@
     }
 )
 NOT_DELETED: Final = False
-# A domain that was out, and that a copy of the store does not have, stays out
-# for this long unless the operator writes it again.  Requests in a domain that
-# is out do harm; one more domain out costs capacity.
-KEEP_OUT_SECONDS: Final = 30.0
 
 
 def apply_list(
@@ -336,7 +333,8 @@
 ) -> None:
     if is_restored:
         for missing in set(_list_domains_out(steering)) - names:
-            until = steady_seconds() + KEEP_OUT_SECONDS
+            # The operator writes again that it is out, or it is back.
+            until = steady_seconds() + REWRITE_SECONDS
             steering.domains_out[missing] = until
     all_names = names.union(steering.domains_out)
     apply_domain_states(steering, {name: name in names for name in all_names})
