--- a/marlbend/steering/upstreams_restored.py
+++ b/marlbend/steering/upstreams_restored.py
@@ -6,8 +6,9 @@
 is gone expires.  Until then what is known from before the return counts.
 
 An upstream whose registration was missing before the return may be in either
-position.  If the copy has it, it neither ends nor gets new flows while the
-store keeps it; if not, it gets as much time to write again as any other.
+position.  If the copy has it, it does not end while the store keeps it, and
+gets new flows only where no other is left; if not, it has as much time to write
+again as any other.
 
 Designed for a store that loses its latest changes while upstreams come and go.
 """
