--- a/bench/fuzz.py
+++ b/bench/fuzz.py
@@ -33,6 +33,7 @@
 from marlbend.steering.documents import UpstreamEntry
 from marlbend.topics.contents import decode_topic
 from marlbend.topics.knowledge import Topic
+from marlbend.topics.unlisted import decode_unlisted
 from marlbend.wire.compression import compress, decompress
 from marlbend.wire.heartbeats import (
     Heartbeat,
@@ -165,6 +166,7 @@
         'topic configuration': _make_decoder(Topic.CONFIGURATION),
         'topic domains': _make_decoder(Topic.DOMAINS_OUT),
         'topic upstreams': _make_decoder(Topic.UPSTREAMS),
+        'unlisted': decode_unlisted,
     }
 )
 _UPSTREAMS: Final = msgspec.msgpack.encode(
@@ -195,6 +197,7 @@
         ),
         'topic domains': (msgspec.msgpack.encode(['a', 'b']),),
         'topic upstreams': (_UPSTREAMS,),
+        'unlisted': (msgspec.msgpack.encode((2, 9.5, (), (), (), {'a': 1})),),
     }
 )
 
--- a/marlbend/edge/peers.py
+++ b/marlbend/edge/peers.py
@@ -44,7 +44,7 @@
 from marlbend.topics.fetching import fetch_topic
 from marlbend.topics.history import record_changes
 from marlbend.topics.knowledge import Topic
-from marlbend.topics.unlisted import can_learn_from, learn_unlisted
+from marlbend.topics.unlisted import can_fetch_unlisted, fetch_unlisted
 from marlbend.wire.heartbeats import (
     Heartbeat,
     TopicChanges,
@@ -197,28 +197,32 @@
             )
             node.tasks.add(task)
             task.add_done_callback(node.tasks.discard)
-    _learn_from_sender(node, heartbeat, sender_address)
+    _start_fetching_unlisted(node, heartbeat, sender_address)
     merge_upstream_updates(node.steering, sender_update, heartbeat, now)
     if heartbeat.reply_requested:
         _reply_in_full(node, sender_update.domain, sender_address)
 
 
-def _learn_from_sender(
+def _start_fetching_unlisted(
     node: GossipNode, heartbeat: Heartbeat, sender_address: Address
 ) -> None:
     """Ask the sender for what the store's lists lack, soon after the start."""
     eras = (
         each.era for each in heartbeat.topics if each.topic == Topic.UPSTREAMS
     )
-    if not node.is_learning and can_learn_from(node, next(eras, -1)):
-        node.is_learning = True
-        task = asyncio.create_task(learn_unlisted(node, sender_address))
+    if not node.is_fetching_unlisted and can_fetch_unlisted(
+        node, next(eras, -1)
+    ):
+        node.is_fetching_unlisted = True
+        task = asyncio.create_task(fetch_unlisted(node, sender_address))
         node.tasks.add(task)
-        task.add_done_callback(partial(_finish_learning, node))
+        task.add_done_callback(partial(_finish_fetching_unlisted, node))
 
 
-def _finish_learning(node: GossipNode, task: asyncio.Task[None]) -> None:
-    node.is_learning = False
+def _finish_fetching_unlisted(
+    node: GossipNode, task: asyncio.Task[None]
+) -> None:
+    node.is_fetching_unlisted = False
     node.tasks.discard(task)
 
 
--- a/marlbend/topics/unlisted.py
+++ b/marlbend/topics/unlisted.py
@@ -1,9 +1,9 @@
-"""Learn from another instance what the store's lists lack.
+"""Fetch from another instance what the store's lists lack.
 
 After the store came back from a copy, its lists may lack upstreams and domains
 out that running instances still know, and have upstreams that have left.  An
-instance that starts then learns these from one that started before it; it would
-otherwise reset open flows whose cookies it does not know.
+instance that starts then fetches these from one that started before it; it
+would otherwise reset open flows whose cookies it does not know.
 """
 
 import math
@@ -33,7 +33,13 @@
 )
 from marlbend.topics.knowledge import Topic
 
-__all__ = ('can_learn_from', 'learn_unlisted', 'make_unlisted_handlers')
+__all__ = (
+    'Unlisted',
+    'can_fetch_unlisted',
+    'decode_unlisted',
+    'fetch_unlisted',
+    'make_unlisted_handlers',
+)
 
 FETCH_TIMEOUT_SECONDS: Final = 1.0
 _OK: Final = 200
@@ -41,7 +47,7 @@
 _PATH: Final = '/unlisted'
 
 
-class _Unlisted(msgspec.Struct, array_like=True, frozen=True):
+class Unlisted(msgspec.Struct, array_like=True, frozen=True):
     """Carry what an instance knows beyond the store's lists.
 
     `era` is that of its list of upstreams, and `uptime` the time since its
@@ -60,7 +66,7 @@
 
 
 _ENCODER: Final = msgspec.msgpack.Encoder()
-_DECODER: Final = msgspec.msgpack.Decoder(_Unlisted)
+_DECODER: Final = msgspec.msgpack.Decoder(Unlisted)
 
 
 def make_unlisted_handlers(node: GossipNode) -> dict[str, RequestHandler]:
@@ -78,7 +84,7 @@
     return {_PATH: respond}
 
 
-def can_learn_from(node: GossipNode, sender_era: int) -> bool:
+def can_fetch_unlisted(node: GossipNode, sender_era: int) -> bool:
     """Return whether to ask an instance of an era for what the lists lack.
 
     This instance must have the lists, and the other must know of the same
@@ -90,15 +96,20 @@
         and (gossip.revision_by_topic[Topic.DOMAINS_OUT])
     )
     is_same_era = sender_era == gossip.era_by_topic[Topic.UPSTREAMS]
-    return bool(has_lists and is_same_era and node.lessons_left)
+    return bool(has_lists and is_same_era and node.unlisted_requests_left)
+
+
+def decode_unlisted(body: bytes) -> Unlisted:
+    """Decode a response to `/unlisted`; raise `msgspec.DecodeError`."""
+    return _DECODER.decode(body)
 
 
-async def learn_unlisted(node: GossipNode, address: Address) -> None:
+async def fetch_unlisted(node: GossipNode, address: Address) -> None:
     """Ask another instance, unless enough others have been asked.
 
     The first one that started before this instance is enough.
     """
-    node.lessons_left -= 1
+    node.unlisted_requests_left -= 1
     connection = Connection(address)
     try:
         await _request_and_apply(node, connection)
@@ -112,12 +123,12 @@
     response = await connection.request('GET', _PATH, FETCH_TIMEOUT_SECONDS)
     # An instance of a former release does not have the path.
     if response.status == _OK:
-        _apply(node, _DECODER.decode(response.body), steady_seconds())
+        _apply(node, decode_unlisted(response.body), steady_seconds())
 
 
-def _describe_unlisted(node: GossipNode, now: float) -> _Unlisted:
+def _describe_unlisted(node: GossipNode, now: float) -> Unlisted:
     pool = node.steering.pool
-    return _Unlisted(
+    return Unlisted(
         node.gossip.era_by_topic[Topic.UPSTREAMS],
         now - node.started_at,
         tuple(list_unregistered(pool, is_ended=False)),
@@ -127,7 +138,7 @@
     )
 
 
-def _apply(node: GossipNode, unlisted: _Unlisted, now: float) -> None:
+def _apply(node: GossipNode, unlisted: Unlisted, now: float) -> None:
     """Add to what this instance knows; replace nothing."""
     steering = node.steering
     if unlisted.era != node.gossip.era_by_topic[Topic.UPSTREAMS]:
@@ -141,7 +152,7 @@
     for domain, seconds in unlisted.seconds_by_domain.items():
         steering.domains_out.setdefault(domain, now + seconds)
     if unlisted.uptime > now - node.started_at:
-        node.lessons_left = 0
+        node.unlisted_requests_left = 0
 
 
 def _list_kept_out(
