Do not reset unknown cookies while no instance can know them

Cause, by the logs: all instances had been restarted within 1.5 s, while the store lacked the upstream's entry, so that none knew its cookie. A cookie that is unknown for 4 s was taken for one of an upstream that is gone.

An instance now resets unknown cookies only once it has asked one that started earlier for what the store's lists lack, or has run for 65 s, longer than any flow. Until then it drops their packets. Callers of upstreams that are gone then wait after a restart of all instances, as they do for the first 4 s now.

The driver of steering.test has instances that know ended upstreams, as the other cases of unknown cookies expect.

--- a/marlbend/edge/maintenance.py
+++ b/marlbend/edge/maintenance.py
@@ -18,7 +18,7 @@
 from marlbend.steering import Steering
 from marlbend.steering.flows import expire_flows
 from marlbend.steering.gossip import list_live_members
-from marlbend.steering.upstreams import expire_upstreams
+from marlbend.steering.upstreams import ENDED_SECONDS, expire_upstreams
 from marlbend.steering.upstreams_restored import keep_domain_cold
 from marlbend.topics.contents import register_kept_entries
 from marlbend.topics.knowledge import Topic
@@ -50,6 +50,8 @@
             Topic.UPSTREAMS
         ]
         restore_domains(steering)
+        if steering.now - node.started_at > ENDED_SECONDS:
+            steering.pool.knows_ended = True
         steering.local_instance.live_members = tuple(
             (each.name, each.domain)
             for each in list_live_members(gossip, steering.now)
--- a/marlbend/steering/steer.py
+++ b/marlbend/steering/steer.py
@@ -239,7 +239,8 @@
     """Drop or reset a packet whose cookie belongs to no known upstream.
 
     Other instances may learn of a new upstream earlier, so the flow is reset
-    only after a delay, and only while the list of upstreams is up to date.
+    only after a delay, and only while the list of upstreams is up to date.  An
+    upstream without a registration is known only to instances that ran before.
     """
     now = steering.now
     since_by_cookie = steering.unknown_cookie_since
@@ -251,6 +252,7 @@
     )
     if (
         packet.cookie
+        and steering.pool.knows_ended
         and is_current
         and now - since > UNKNOWN_COOKIE_RESET_DELAY_SECONDS
     ):
--- a/marlbend/steering/upstreams.py
+++ b/marlbend/steering/upstreams.py
@@ -186,7 +186,8 @@
     `held_by_name` holds registrations that only a copy of the store has, and
     `lost` the names of those that it lacks, with the time of its return.
     `returned_at` is when the store last came back from a copy.  See
-    `marlbend.steering.upstreams_restored`.
+    `marlbend.steering.upstreams_restored`.  `knows_ended` is set once it has all
+    upstreams that may have open flows, even if the store lacks them.
     """
 
     __slots__ = (
@@ -194,6 +195,7 @@
         'by_name',
         'by_service',
         'held_by_name',
+        'knows_ended',
         'lost',
         'returned_at',
     )
@@ -203,6 +205,7 @@
         self.held_by_name: dict[str, HeldEntry] = {}
         self.lost: dict[str, float] = {}
         self.returned_at = float('-inf')
+        self.knows_ended = False
         self.by_name: dict[str, Upstream] = {}
         self.by_cookie: dict[int, Upstream] = {}
         self.by_service: dict[str, dict[str, Upstream]] = {}
--- a/marlbend/test/steering.py
+++ b/marlbend/test/steering.py
@@ -73,6 +73,7 @@
         )
         self.steering.now = self.now
         self.steering.upstreams_confirmed_at = self.now
+        self.steering.pool.knows_ended = True
         self.receive = make_receiver(self.steering)
         self.retries.clear()
 
@@ -165,6 +166,10 @@
         """Simulate that an upstream's registration has expired."""
         mark_missing(self.steering.pool, name, self.now)
 
+    def forget_ended(self) -> None:
+        """Simulate an instance that has just started, like all others."""
+        self.steering.pool.knows_ended = False
+
     def take_out(self, domain: str) -> None:
         """Take a failure domain out of service."""
         self.steering.domains_out[domain] = OUT_INDEFINITELY
--- a/marlbend/topics/unlisted.py
+++ b/marlbend/topics/unlisted.py
@@ -153,6 +153,7 @@
         steering.domains_out.setdefault(domain, now + seconds)
     if unlisted.uptime > now - node.started_at:
         node.unlisted_requests_left = 0
+        steering.pool.knows_ended = True
 
 
 def _list_kept_out(
