--- a/bench/fuzz.py
+++ b/bench/fuzz.py
@@ -197,7 +197,7 @@
         ),
         'topic domains': (msgspec.msgpack.encode(['a', 'b']),),
         'topic upstreams': (_UPSTREAMS,),
-        'unlisted': (msgspec.msgpack.encode((2, 9.5, (), (), (), {'a': 1})),),
+        'unlisted': (msgspec.msgpack.encode((2, True, (), (), (), {'a': 1})),),
     }
 )
 
--- a/marlbend/steering/upstreams.py
+++ b/marlbend/steering/upstreams.py
@@ -186,8 +186,8 @@
     `held_by_name` holds registrations that only a copy of the store has, and
     `lost` the names of those that it lacks, with the time of its return.
     `returned_at` is when the store last came back from a copy.  See
-    `marlbend.steering.upstreams_restored`.  `knows_ended` is set once it has all
-    upstreams that may have open flows, even if the store lacks them.
+    `marlbend.steering.upstreams_restored`.  `knows_ended` is set once it has
+    all upstreams that may have open flows, even if the store lacks them.
     """
 
     __slots__ = (
--- a/marlbend/test/test_store_return.py
+++ b/marlbend/test/test_store_return.py
@@ -235,6 +235,20 @@
     run_with_fleet(scenario)
 
 
+def test_instances_that_all_started_lately_reset_no_unknown_cookie() -> None:
+    """One that started earlier than another may know no more than that one."""
+
+    async def scenario(fleet: Fleet) -> None:
+        instances = await start_fleet(fleet, 3)
+        await asyncio.sleep(1)
+        assert not any(each.steering.pool.knows_ended for each in instances)
+        instances[0].steering.pool.knows_ended = True
+        started = await fleet.add('n9', '127.9.2.1')
+        await wait_until(lambda: started.steering.pool.knows_ended)
+
+    run_with_fleet(scenario)
+
+
 def test_store_without_history_is_not_called_without_a_pause() -> None:
     async def scenario(fleet: Fleet) -> None:
         await start_fleet(fleet, 4)
--- a/marlbend/topics/unlisted.py
+++ b/marlbend/topics/unlisted.py
@@ -2,8 +2,8 @@
 
 After the store came back from a copy, its lists may lack upstreams and domains
 out that running instances still know, and have upstreams that have left.  An
-instance that starts then fetches these from one that started before it; it
-would otherwise reset open flows whose cookies it does not know.
+instance that starts then fetches these from one that ran before; it would
+otherwise reset open flows whose cookies it does not know.
 """
 
 import math
@@ -50,15 +50,15 @@
 class Unlisted(msgspec.Struct, array_like=True, frozen=True):
     """Carry what an instance knows beyond the store's lists.
 
-    `era` is that of its list of upstreams, and `uptime` the time since its
-    start in seconds.  `missing` and `ended` hold the upstreams without a
+    `era` is that of its list of upstreams.  `knows_ended` is as in
+    `UpstreamPool`.  `missing` and `ended` hold the upstreams without a
     registration.  `held` holds the entries of a copy that are not used, each
     with the one that is.  `seconds_by_domain` holds how much longer a domain is
     kept out that the list of domains out does not have.
     """
 
     era: int
-    uptime: float
+    knows_ended: bool
     missing: tuple[UpstreamEntry, ...]
     ended: tuple[UpstreamEntry, ...]
     held: tuple[tuple[UpstreamEntry, UpstreamEntry], ...]
@@ -107,7 +107,7 @@
 async def fetch_unlisted(node: GossipNode, address: Address) -> None:
     """Ask another instance, unless enough others have been asked.
 
-    The first one that started before this instance is enough.
+    The first one that knows all ended upstreams is enough.
     """
     node.unlisted_requests_left -= 1
     connection = Connection(address)
@@ -130,7 +130,7 @@
     pool = node.steering.pool
     return Unlisted(
         node.gossip.era_by_topic[Topic.UPSTREAMS],
-        now - node.started_at,
+        pool.knows_ended,
         tuple(list_unregistered(pool, is_ended=False)),
         tuple(list_unregistered(pool, is_ended=True)),
         tuple(list_held(pool)),
@@ -151,7 +151,7 @@
         hold_entry(steering.pool, held, known, now)
     for domain, seconds in unlisted.seconds_by_domain.items():
         steering.domains_out.setdefault(domain, now + seconds)
-    if unlisted.uptime > now - node.started_at:
+    if unlisted.knows_ended:
         node.unlisted_requests_left = 0
         steering.pool.knows_ended = True
 
