Check every step of a watched configuration across a return

Now the version and the configuration in force after each read are recorded, and neither may go back.

--- a/marlbend/test/test_configuration_restored.py
+++ b/marlbend/test/test_configuration_restored.py
@@ -15,6 +15,8 @@
 from marlbend.test.edge import Fleet, run_with_fleet, wait_until
 
 Scenario = Coroutine[None, None, None]
+# The version and the configuration in force after each one that was read.
+History = list[tuple[int, Configuration]]
 
 # The copy is from before the publication `b`.
 IN_COPY = Configuration((), publications=('a',))
@@ -67,16 +69,18 @@
 
 
 def run_with_watcher(
-    scenario: Callable[[Fleet, ActiveConfig], Scenario],
+    scenario: Callable[[Fleet, ActiveConfig, History], Scenario],
 ) -> None:
     """Run beside a watcher that applies what it reads."""
 
     async def run(fleet: Fleet) -> None:
         active = ActiveConfig()
+        history: History = []
 
         def apply(stored: VersionedBody) -> None:
             document = decode_configuration(stored)
             apply_configuration(active, stored.version, document, 0)
+            history.append((active.version, active.document))
 
         await publish(fleet, IN_COPY)
         address, port = fleet.address
@@ -85,7 +89,7 @@
             watch_object(platform, CONFIG_PATH, apply, Random(1))
         )
         await wait_until(lambda: active.document == IN_COPY)
-        await scenario(fleet, active)
+        await scenario(fleet, active, history)
         watcher.cancel()
 
     run_with_fleet(run)
@@ -98,7 +102,9 @@
 def test_configuration_written_before_the_first_read_after_a_return() -> None:
     """A watcher that waits to retry reads the new one first."""
 
-    async def scenario(fleet: Fleet, active: ActiveConfig) -> None:
+    async def scenario(
+        fleet: Fleet, active: ActiveConfig, history: History
+    ) -> None:
         copy = copy_store(fleet.store)
         await publish(fleet, LOST)
         await wait_until(lambda: active.document == LOST)
@@ -114,7 +120,9 @@
 
 
 def test_watched_configuration_does_not_go_back_on_a_plain_fabric() -> None:
-    async def scenario(fleet: Fleet, active: ActiveConfig) -> None:
+    async def scenario(
+        fleet: Fleet, active: ActiveConfig, history: History
+    ) -> None:
         copy = copy_store(fleet.store)
         lost = IN_COPY
         for number in range(4, 20):
@@ -129,5 +137,11 @@
         await publish(fleet, WRITTEN_SINCE)
         await wait_until(lambda: active.document == WRITTEN_SINCE)
         assert active.version > version
+        versions = [each for each, _ in history]
+        assert versions == sorted(versions)
+        *before, last = (document for _, document in history)
+        lengths = [len(document.publications) for document in before]
+        assert lengths == sorted(lengths)
+        assert last == WRITTEN_SINCE
 
     run_with_watcher(scenario)
