--- a/review/2/case.py
+++ b/review/2/case.py
@@ -7,10 +7,9 @@
 import asyncio
 import pathlib
 import time
-import zlib
 from typing import Final
 
-from fleet import Node, start_node
+from fleet import find_reader, lose_power
 from hosts import Host
 from record import log_line, report_violation
 from store import remove
@@ -62,9 +61,9 @@
     removed_at = time.monotonic()
     log_line(world.record, f'the store removed the entry of {host.name}')
     await asyncio.sleep(POWER_LOST_SECONDS)
-    # The name with the lowest checksum reads the store for the others.
-    reader = min(world.fleet.nodes, key=_rank_of)
-    await _lose_power(world, reader)
+    reader = find_reader(world.fleet)
+    log_line(world.record, f'{reader.name} loses power')
+    await lose_power(world.fleet, reader, DARK_SECONDS)
     await asyncio.sleep(CALM_SECONDS)
     for opening in world.record.opened:
         delay = opening.at - removed_at
@@ -77,18 +76,4 @@
             report_violation(world.record, line)
 
 
-async def _lose_power(world: World, node: Node) -> None:
-    log_line(world.record, f'{node.name} loses power')
-    if node.process is not None:
-        node.process.kill()
-        node.process.wait()
-    await asyncio.sleep(DARK_SECONDS)
-    log_line(world.record, f'{node.name} starts again')
-    start_node(world.fleet, node)
-
-
-def _rank_of(node: Node) -> int:
-    return zlib.crc32(node.name.encode())
-
-
 run_case(str(pathlib.Path(__file__).parent), prepare, act)
--- a/review/stand_ins/fleet.py
+++ b/review/stand_ins/fleet.py
@@ -113,6 +113,27 @@
     start_node(fleet, node)
 
 
+async def lose_power(fleet: Fleet, node: Node, seconds: float) -> None:
+    """Kill a process, and start it again after some seconds."""
+    if node.process is not None:
+        node.process.kill()
+        node.process.wait()
+    await asyncio.sleep(seconds)
+    start_node(fleet, node)
+
+
+def find_reader(fleet: Fleet) -> Node:
+    """Return the machine that reads the store for the others.
+
+    It is the one whose name has the lowest checksum.
+    """
+    return min(fleet.nodes, key=_rank_of)
+
+
+def _rank_of(node: Node) -> int:
+    return zlib.crc32(node.name.encode())
+
+
 async def poll_readiness(fleet: Fleet) -> None:
     """Poll all machines twice per second, until cancelled."""
     while True:
