Use loopback addresses alone in the cases of the review

The route of the cases had an address outside the loopback range in its packets, to which nothing was ever sent, and the search for free ports bound a wildcard address.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -48,7 +48,7 @@
     flows: list[asyncio.Task[None]] = []
     for number in range(FLOWS):
         client = world.clients[number % len(world.clients)]
-        flow = use_flow(client, ('198.18.0.1', PORT), REQUESTS, PAUSE_SECONDS)
+        flow = use_flow(client, ('127.0.5.1', PORT), REQUESTS, PAUSE_SECONDS)
         flows.append(start_task(world, flow))
         await asyncio.sleep(FLOW_SECONDS)
     if world.has_trouble:
--- a/review/stand_ins/world.py
+++ b/review/stand_ins/world.py
@@ -40,6 +40,8 @@
 # Below the range that the system hands out by itself.
 PORT_RANGE: Final = (12_000, 30_000)
 ADDRESS: Final = '127.0.0.1'
+# Of the store, and the first machine, client and host.
+PROBED: Final = (ADDRESS, '127.0.1.1', '127.0.2.1', '127.0.3.1')
 CASE_SECONDS: Final = 110.0
 FIRST_HOST_NUMBER: Final = 0x7F3A91C0
 LIMITS: Final = 15_000
@@ -114,7 +116,7 @@
     """Add a service with one route; return the route's endpoint."""
     route = {
         'name': f'r-{name}',
-        'hostname': '198.18.0.1',
+        'hostname': '127.0.5.1',
         'path_prefix': f'/{port}/',
         'kind': 'safe',
         'timeout_ms': 4000,
@@ -134,7 +136,7 @@
     }
     world.config['routes'].append(route)
     world.config['services'].append(service | limits)
-    return '198.18.0.1', port
+    return '127.0.5.1', port
 
 
 def add_host(world: World, service: str, domain: str, name: str = '') -> Host:
@@ -242,15 +244,16 @@
     """Return the first of five ports that are free on all addresses."""
     while True:
         first = random.randrange(*PORT_RANGE, 10)
-        if all(_is_free(port) for port in range(first, first + 5)):
+        ports = range(first, first + 5)
+        if all(_is_free(end) for end in itertools.product(PROBED, ports)):
             return first
 
 
-def _is_free(port: int) -> bool:
+def _is_free(endpoint: Endpoint) -> bool:
     for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
         with socket.socket(socket.AF_INET, kind) as probe:
             try:
-                probe.bind(('0.0.0.0', port))
+                probe.bind(endpoint)
             except OSError:
                 return False
     return True
