Keep flows whose SYN went to two upstreams at the one that holds them

Ruled out: a wrong choice at the restart (the first packet after the handshake was right each time), and the list of upstreams (none was missing).

Change: the instance that sees the first packet after the handshake tells the others which upstream holds the flow: the domain at once, all with the heartbeats of 2 s, the domain again when it leaves; replies in full and /unlisted carry it to instances that start. An instance that sends a SYN to a second upstream tells this before the handshake ends, since the next packet may reach another one. A retransmitted SYN without an earlier one counts as such a flow.

The same cause elsewhere, of what only one instance knows of an open flow: the other parts of the record (pending SYN, retransmissions) cost time, and move no flow.

--- a/bench/endpoints/upstreams.py
+++ b/bench/endpoints/upstreams.py
@@ -72,6 +72,7 @@
     next_sequence: int
     is_open: bool = False
     is_closed: bool = False
+    handshake_retransmissions: int = 0
     retransmissions: int = 0
     unacknowledged: tuple[Packet, ...] = ()
 
@@ -154,19 +155,40 @@
             key, add_to_sequence(packet.sequence, 1), initial_sequence
         )
         upstream.flow_by_key[key] = flow
-    if not flow.is_open:
-        _send_packet(
+    response = Packet(
+        wire.SYN | wire.ACK,
+        packet.destination,
+        packet.source,
+        flow.next_sequence,
+        flow.expected_sequence,
+        packet.cookie,
+    )
+    if is_known:
+        if not flow.is_open:
+            _send_packet(upstream, response)
+        return None
+    _send_until_open(upstream, flow, response)
+    return packet
+
+
+def _send_until_open(
+    upstream: UpstreamServer, flow: UpstreamFlow, response: Packet
+) -> None:
+    """Send a SYN+ACK, and again with growing pauses until the flow opens."""
+    if flow.is_open or upstream.flow_by_key.get(flow.key) is not flow:
+        return
+    if upstream.state is not UpstreamState.PAUSED:
+        _send_packet(upstream, response)
+    if flow.handshake_retransmissions < MAX_RETRANSMISSIONS:
+        delay = MIN_RETRANSMIT_SECONDS * 2**flow.handshake_retransmissions
+        flow.handshake_retransmissions += 1
+        asyncio.get_running_loop().call_later(
+            min(delay, MAX_RETRANSMIT_SECONDS),
+            _send_until_open,
             upstream,
-            Packet(
-                wire.SYN | wire.ACK,
-                packet.destination,
-                packet.source,
-                flow.next_sequence,
-                flow.expected_sequence,
-                packet.cookie,
-            ),
+            flow,
+            response,
         )
-    return None if is_known else packet
 
 
 def _handle_segment(upstream: UpstreamServer, packet: Packet) -> None:
--- a/bench/fuzz.py
+++ b/bench/fuzz.py
@@ -38,6 +38,7 @@
 from marlbend.wire.heartbeats import (
     Heartbeat,
     MemberUpdate,
+    ReopenedFlowUpdate,
     TopicChanges,
     TopicRevision,
     UpstreamUpdate,
@@ -51,6 +52,7 @@
 SHOWN_ERRORS: Final = 5
 BYTE_VALUES: Final = 256
 PACKET_BYTES: Final = 36
+FLOW_KEY: Final = b'\x64\x40\x00\x07\x9c\x41\x01\xbb\xc6\x12\x00\x01'
 DEFAULT_INPUTS: Final = 100_000
 
 Decode = Callable[[bytes], object]
@@ -152,6 +154,7 @@
             (TopicRevision(1, 5, 2, era=1, clock=7, confirmed_at=9),),
             (UpstreamUpdate(1, 2, 3, 4, 5),),
             changes=(TopicChanges(1, 4, 5, b'\x80'),),
+            reopened_flows=(ReopenedFlowUpdate(FLOW_KEY, 7, 5),),
         )
     )
 
--- a/marlbend/edge/peers.py
+++ b/marlbend/edge/peers.py
@@ -13,6 +13,11 @@
 
 from marlbend.clock import steady_seconds
 from marlbend.edge.node import Address, GossipNode
+from marlbend.edge.reopened_updates import (
+    MAX_UPDATES,
+    MAX_UPDATES_IN_FULL,
+    merge_reopened_updates,
+)
 from marlbend.edge.upstream_updates import (
     merge_upstream_updates,
     updates_for_local_domain,
@@ -39,6 +44,11 @@
     describe_member,
     remove_expired_members,
 )
+from marlbend.steering.reopened_flows import (
+    REOPENED_FLOW_SECONDS,
+    REPEAT_SECONDS,
+    list_latest,
+)
 from marlbend.steering.state import observe_time
 from marlbend.topics.changes import apply_peer_changes
 from marlbend.topics.fetching import fetch_topic
@@ -199,6 +209,7 @@
             task.add_done_callback(node.tasks.discard)
     _start_fetching_unlisted(node, heartbeat, sender_address)
     merge_upstream_updates(node.steering, sender_update, heartbeat, now)
+    merge_reopened_updates(node, heartbeat.reopened_flows, now)
     if heartbeat.reply_requested:
         _reply_in_full(node, sender_update.domain, sender_address)
 
@@ -300,6 +311,16 @@
         upstreams = tuple(updates_for_remote_domain(steering, domain, now))
     return encode_heartbeat(
         msgspec.structs.replace(
-            heartbeat, upstreams=upstreams, reply_requested=reply_requested
+            heartbeat,
+            upstreams=upstreams,
+            reply_requested=reply_requested,
+            reopened_flows=tuple(
+                list_latest(
+                    steering.reopened_flows,
+                    MAX_UPDATES_IN_FULL if in_full else MAX_UPDATES,
+                    now,
+                    REOPENED_FLOW_SECONDS if in_full else REPEAT_SECONDS,
+                )
+            ),
         )
     )
--- a/marlbend/edge/wiring.py
+++ b/marlbend/edge/wiring.py
@@ -30,6 +30,7 @@
     staleness_limits,
     watch_settings,
 )
+from marlbend.edge.reopened_updates import hand_over_reopened, send_reopened
 from marlbend.edge.serving import start_servers
 from marlbend.edge.tasks import run_forever
 from marlbend.events import Event, emit
@@ -123,9 +124,11 @@
     # Step down as the elected reader.
     node.gossip.is_leaving = True
     node.gossip.myself.can_read = False
+    hand_over_reopened(node)
     await asyncio.sleep(
         min(LEAVE_SECONDS, instance.cookie_settings.stop_seconds / 2)
     )
+    hand_over_reopened(node)
     announce_departure(node)
 
 
@@ -192,6 +195,7 @@
 
     start_reading_with_sender(control, receive, lambda: None)
     steering.callbacks.gossip_now = gossip_now
+    steering.callbacks.gossip_reopened = partial(send_reopened, node)
     return node
 
 
--- a/marlbend/observe/control_traffic.py
+++ b/marlbend/observe/control_traffic.py
@@ -12,9 +12,10 @@
     """Name why something is sent to other instances.
 
     `PERIODIC` heartbeats are sent whatever happens.  `URGENT` ones report
-    upstreams that stop responding, and those for a `CHANGE` a newer revision of
-    a topic.  A `REPLY` was requested by an instance that has just started or is
-    alone, a `TOPIC` is the response to a fetch, and `LEAVING` is sent once.
+    upstreams that stop responding, those for a `CHANGE` a newer revision of a
+    topic, and `REOPENED` ones flows whose SYN went to several upstreams.  A
+    `REPLY` was requested by an instance that has just started or is alone, a
+    `TOPIC` is the response to a fetch, and `LEAVING` is sent once.
     """
 
     PERIODIC = 'periodic'
@@ -23,6 +24,7 @@
     REPLY = 'reply'
     TOPIC = 'topic'
     LEAVING = 'leaving'
+    REOPENED = 'reopened'
 
 
 @final
--- a/marlbend/steering/budgets.py
+++ b/marlbend/steering/budgets.py
@@ -30,6 +30,7 @@
 URGENT_LINK_SHARE: Final = 0.02
 CHANGE_LINK_SHARE: Final = 0.05
 REPLY_LINK_SHARE: Final = 0.02
+REOPENED_LINK_SHARE: Final = 0.01
 TOPIC_LINK_SHARE: Final = 0.2
 # Shares of the instance's part of a core, and the processor time of a call.
 REOPEN_PROCESSOR_SHARE: Final = 0.1
@@ -67,15 +68,16 @@
 class Budgets:
     """Hold the budget of each reaction of one instance.
 
-    In bytes: `urgent` heartbeats, heartbeats for `changes`, `replies` in full
-    to instances that have just started, and `topics` served.  In calls:
-    `fetches` from other instances, and `reopenings`, SYNs sent to a further
-    upstream.
+    In bytes: `urgent` heartbeats, heartbeats for `changes` and for `reopened`
+    flows, `replies` in full to instances that have just started, and `topics`
+    served.  In calls: `fetches` from other instances, and `reopenings`, SYNs
+    sent to a further upstream.
     """
 
     __slots__ = (
         'changes',
         'fetches',
+        'reopened',
         'reopenings',
         'replies',
         'topics',
@@ -95,6 +97,9 @@
         self.replies = _make_byte_bucket(
             link_bytes_per_second * REPLY_LINK_SHARE
         )
+        self.reopened = _make_byte_bucket(
+            link_bytes_per_second * REOPENED_LINK_SHARE
+        )
         self.topics = _make_byte_bucket(
             link_bytes_per_second * TOPIC_LINK_SHARE
         )
--- a/marlbend/steering/flows.py
+++ b/marlbend/steering/flows.py
@@ -2,9 +2,9 @@
 
 Packets are routed by cookie, so a flow whose record is lost continues.  It is
 missing from the load estimate until its next packet creates a new record.  What
-the old record held is lost: a pending SYN is not retried, earlier data is not
-recognized as retransmitted or answered, and a flow whose SYN was sent to
-several upstreams is not held to one of them.
+the old record held is lost: a pending SYN is not retried, and earlier data is
+not recognized as retransmitted or answered.  Which upstream holds a flow whose
+SYN went to several is kept apart, in `marlbend.steering.reopened_flows`.
 """
 
 from typing import Final
@@ -17,6 +17,7 @@
 from marlbend.steering.load_shedding import is_unqueued, record_service_time
 from marlbend.steering.outlier_detection import record_response
 from marlbend.steering.packet import Packet
+from marlbend.steering.reopened_flows import expire_reopened
 from marlbend.steering.state import Flow, Steering
 from marlbend.steering.upstreams import Upstream
 
@@ -45,6 +46,7 @@
 def expire_flows(steering: Steering) -> None:
     """Remove idle flows, and stop counting requests that got no response."""
     now = steering.now
+    expire_reopened(steering.reopened_flows, now)
     for key, flow in tuple(steering.flow_by_key.items()):
         idle = now - flow.last_packet_at
         if idle > IDLE_TIMEOUT_SECONDS:
@@ -82,10 +84,7 @@
 ) -> None:
     if flow.tried and upstream is flow.tried[0]:
         record_handshake(steering, steering.now - flow.opened_at)
-    # With a single upstream there is no second answer to guard against; see
-    # `_continue_flow` in `marlbend.steering.steer`.
-    if len(flow.tried) == 1:
-        flow.tried.clear()
+    flow.tried.clear()
     flow.pending_syn = None
     move_flow(flow, upstream)
     record_liveness(steering, upstream, steering.now)
--- a/marlbend/steering/state.py
+++ b/marlbend/steering/state.py
@@ -9,6 +9,7 @@
 from marlbend.observe.latency import LatencyHistogram
 from marlbend.steering.budgets import make_budgets
 from marlbend.steering.packet import Packet
+from marlbend.steering.reopened_flows import ReopenedFlows
 from marlbend.steering.routes import RouteTable
 from marlbend.steering.upstreams import Upstream, UpstreamPool
 
@@ -72,8 +73,8 @@
     is lost is described in `marlbend.steering.flows`.
 
     `pending_syn` is the SYN until the handshake completes, and `opened_at` is
-    when it arrived.  `tried` holds the upstreams to which the SYN was sent;
-    after the handshake it is empty if there was only one.  `last_packet_at` is
+    when it arrived.  `tried` holds the upstreams to which the SYN was sent, and
+    is empty after the handshake.  `last_packet_at` is
     when the caller's latest packet arrived or, before the handshake completes,
     when the SYN was last forwarded.  Times are steady seconds.
 
@@ -133,12 +134,14 @@
     packet, with its upstream if there is one.  Its last argument is the list of
     upstreams tried so far for `OPENED` and `REOPENED`, and empty otherwise.
     `gossip_now` tells the instances of the local domain about changes in the
-    state of upstreams without waiting for the next heartbeat.
+    state of upstreams without waiting for the next heartbeat, and
+    `gossip_reopened` about flows whose SYN went to several upstreams.
     """
 
     __slots__ = (
         'forward',
         'gossip_now',
+        'gossip_reopened',
         'report_decision',
         'reset',
         'schedule_retry',
@@ -153,8 +156,9 @@
             [Outcome, Packet, Upstream | None, Sequence[Upstream]], None
         ],
     ) -> None:
-        """Store the callbacks; `gossip_now` does nothing until it is set."""
+        """Store the callbacks; those for gossip do nothing until set."""
         self.gossip_now: Callable[[], None] = _skip_gossip
+        self.gossip_reopened: Callable[[], None] = _skip_gossip
         self.forward = forward
         self.reset = reset
         self.schedule_retry = schedule_retry
@@ -311,8 +315,8 @@
     `upstreams_known` is set by the first complete list.
     `upstreams_confirmed_at` is when the platform last confirmed the upstreams,
     `platform_recovered_at` when it first did so after an outage.
-    `unknown_cookie_since` maps each cookie of no known upstream to the time at
-    which it was first seen.
+    `reopened_flows` holds the flows whose SYN went to several upstreams, as far
+    as any instance told.
     """
 
     __slots__ = (
@@ -327,8 +331,8 @@
         'platform_recovered_at',
         'pool',
         'random',
+        'reopened_flows',
         'routes',
-        'unknown_cookie_since',
         'upstreams_confirmed_at',
         'upstreams_known',
     )
@@ -348,9 +352,9 @@
         self.domains_out: dict[str, float] = {}
         self.partition_by_domain: dict[str, Partition] = {}
         self.flow_by_key: dict[bytes, Flow] = {}
+        self.reopened_flows = ReopenedFlows()
         self.counts = [0 for _ in Outcome]
         self.upstreams_known = False
-        self.unknown_cookie_since: dict[int, float] = {}
         self.estimates = Estimates()
         self.upstreams_confirmed_at: float = 0
         self.platform_recovered_at: float = 0
--- a/marlbend/steering/steer.py
+++ b/marlbend/steering/steer.py
@@ -33,6 +33,11 @@
 )
 from marlbend.steering.load_shedding import is_overloaded
 from marlbend.steering.packet import Packet
+from marlbend.steering.reopened_flows import (
+    add_reopened,
+    confirm_cookie,
+    remove_reopened,
+)
 from marlbend.steering.routes import Route, pick_service
 from marlbend.steering.slow_start import record_new_flow
 from marlbend.steering.state import Flow, Outcome, Steering
@@ -156,6 +161,10 @@
     flow = add_flow(steering, packet.flow_key, upstream)
     flow.pending_syn = packet
     set_busy(flow, busy=True)
+    remove_reopened(steering.reopened_flows, packet.flow_key)
+    if packet.attempt:
+        # Another instance may have sent the first SYN to another upstream.
+        _report_reopened(steering, packet.flow_key)
     _send_syn(steering, flow, Outcome.OPENED)
 
 
@@ -187,6 +196,8 @@
         return
     flow.last_packet_at = steering.now
     flow.tried.append(flow.upstream)
+    if len(flow.tried) > 1:
+        _report_reopened(steering, packet.flow_key)
     record_new_flow(steering, flow.upstream)
     steering.counts[outcome] += 1
     steering.callbacks.forward(packet, flow.upstream)
@@ -196,6 +207,11 @@
     _schedule_retry(steering, flow)
 
 
+def _report_reopened(steering: Steering, key: bytes) -> None:
+    add_reopened(steering.reopened_flows, key, steering.now, steering.now)
+    steering.callbacks.gossip_reopened()
+
+
 def _schedule_retry(steering: Steering, flow: Flow) -> None:
     if flow.pending_syn is not None:
         delay = handshake_timeout(steering)
@@ -203,9 +219,11 @@
 
 
 def _continue_flow(steering: Steering, packet: Packet, route: Route) -> None:
-    upstream = steering.pool.by_cookie.get(packet.cookie)
+    flow = steering.flow_by_key.get(packet.flow_key)
+    cookie = _find_cookie(steering, packet, flow)
+    upstream = steering.pool.by_cookie.get(cookie)
     if upstream is None:
-        _handle_unknown_cookie(steering, packet)
+        _handle_unknown_cookie(steering, packet, cookie)
         return
     if upstream.entry.service not in route.services:
         steering.counts[Outcome.DROPPED_FORGED] += 1
@@ -213,13 +231,12 @@
     if is_given_up(upstream, steering.now):
         _reset_flow(steering, packet, upstream, Outcome.RESET_ENDED)
         return
-    flow = steering.flow_by_key.get(packet.flow_key)
     if flow is None:
         flow = add_flow(steering, packet.flow_key, upstream)
-    elif upstream in flow.tried and flow.pending_syn is None:
-        # The SYN was sent to several upstreams, and more than one may have
-        # answered it; the flow stays with the one that completed the handshake.
-        upstream = flow.upstream
+    if confirm_cookie(
+        steering.reopened_flows, packet.flow_key, cookie, steering.now
+    ):
+        steering.callbacks.gossip_reopened()
     starts_request = observe_packet(steering, flow, packet, upstream)
     if flow.retransmissions and _reset_if_silent(
         steering, packet, upstream, route
@@ -235,7 +252,23 @@
         remove_flow(steering, packet.flow_key)
 
 
-def _handle_unknown_cookie(steering: Steering, packet: Packet) -> None:
+def _find_cookie(steering: Steering, packet: Packet, flow: Flow | None) -> int:
+    """Return the cookie of the upstream that holds the flow of a packet.
+
+    If the SYN went to several upstreams, more than one may have answered it,
+    and the cookie in the packet may be that of another one.
+    """
+    reopened = steering.reopened_flows.by_key.get(packet.flow_key)
+    if reopened is None:
+        return packet.cookie
+    if flow is not None and flow.pending_syn is None:
+        return reopened.cookie or flow.upstream.cookie
+    return reopened.cookie or packet.cookie
+
+
+def _handle_unknown_cookie(
+    steering: Steering, packet: Packet, cookie: int
+) -> None:
     """Drop or reset a packet whose cookie belongs to no known upstream.
 
     Other instances may learn of a new upstream earlier, so the flow is reset
@@ -243,15 +276,15 @@
     upstream without a registration is known only to instances that ran before.
     """
     now = steering.now
-    since_by_cookie = steering.unknown_cookie_since
-    since = since_by_cookie.setdefault(packet.cookie, now)
+    since_by_cookie = steering.pool.unknown_cookie_since
+    since = since_by_cookie.setdefault(cookie, now)
     if len(since_by_cookie) > MAX_UNKNOWN_COOKIES:
         since_by_cookie.pop(next(iter(since_by_cookie)))
     is_current = (
         now - steering.upstreams_confirmed_at < UPSTREAMS_MAX_AGE_SECONDS
     )
     if (
-        packet.cookie
+        cookie
         and steering.pool.knows_ended
         and is_current
         and now - since > UNKNOWN_COOKIE_RESET_DELAY_SECONDS
--- a/marlbend/steering/upstreams.py
+++ b/marlbend/steering/upstreams.py
@@ -188,6 +188,8 @@
     `returned_at` is when the store last came back from a copy.  See
     `marlbend.steering.upstreams_restored`.  `knows_ended` is set once it has
     all upstreams that may have open flows, even if the store lacks them.
+    `unknown_cookie_since` maps each cookie of no known upstream to the time at
+    which it was first seen in a packet.
     """
 
     __slots__ = (
@@ -198,6 +200,7 @@
         'knows_ended',
         'lost',
         'returned_at',
+        'unknown_cookie_since',
     )
 
     def __init__(self) -> None:
@@ -208,6 +211,7 @@
         self.knows_ended = False
         self.by_name: dict[str, Upstream] = {}
         self.by_cookie: dict[int, Upstream] = {}
+        self.unknown_cookie_since: dict[int, float] = {}
         self.by_service: dict[str, dict[str, Upstream]] = {}
 
 
--- a/marlbend/test/simulation.py
+++ b/marlbend/test/simulation.py
@@ -478,6 +478,7 @@
     """Replace the steady clock where heartbeats are made and received."""
     with (
         mock.patch('marlbend.edge.peers.steady_seconds', read),
+        mock.patch('marlbend.edge.reopened_updates.steady_seconds', read),
         mock.patch('marlbend.topics.changes.steady_seconds', read),
         mock.patch('marlbend.topics.contents.steady_seconds', read),
     ):
--- a/marlbend/test/test_reports.py
+++ b/marlbend/test/test_reports.py
@@ -161,7 +161,7 @@
     driver.upstream('a1', 'catalog', 'a')
     driver.open('f', 'web')
     driver.establish('f')
-    since_by_cookie = driver.steering.unknown_cookie_since
+    since_by_cookie = driver.steering.pool.unknown_cookie_since
     for cookie in range(1, MAX_UNKNOWN_COOKIES + 1):
         driver.callers['f'].cookie = cookie
         driver.send('f')
--- a/marlbend/test/test_soak.py
+++ b/marlbend/test/test_soak.py
@@ -69,13 +69,22 @@
             assert step.at + step.seconds <= 45 - FAULT_FREE_SECONDS + 0.02
 
 
-def test_returns_of_the_store_leave_the_other_steps_as_they_are() -> None:
+@pytest.mark.parametrize(
+    ('option', 'kind'),
+    [
+        ('with_returns', 'store_returns'),
+        ('with_lost_handshakes', 'handshakes_lost'),
+    ],
+)
+def test_options_leave_the_other_steps_as_they_are(
+    option: str, kind: str
+) -> None:
     for seed in range(50):
         steps = draw_schedule(seed, 45).steps
-        more = draw_schedule(seed, 45, with_returns=True).steps
+        more = draw_schedule(seed, 45, **{option: True}).steps
         added = [step for step in more if step not in steps]
         assert set(steps) <= set(more)
-        assert {step.kind for step in added} == {'store_returns'}
+        assert {step.kind for step in added} == {kind}
 
 
 def test_allowed_traffic_gives_no_finding() -> None:
--- a/marlbend/topics/unlisted.py
+++ b/marlbend/topics/unlisted.py
@@ -14,6 +14,7 @@
 
 from marlbend.clock import steady_seconds
 from marlbend.edge.node import Address, GossipNode
+from marlbend.edge.reopened_updates import merge_reopened_updates
 from marlbend.errors import MarlbendError
 from marlbend.events import Event, emit
 from marlbend.http import Connection, RequestHandler, ServerResponse
@@ -24,6 +25,11 @@
 )
 from marlbend.steering.budgets import spend_any
 from marlbend.steering.documents import UpstreamEntry
+from marlbend.steering.reopened_flows import (
+    MAX_REOPENED_FLOWS,
+    REOPENED_FLOW_SECONDS,
+    list_latest,
+)
 from marlbend.steering.state import Steering
 from marlbend.steering.upstreams_restored import (
     add_unregistered,
@@ -32,6 +38,7 @@
     list_unregistered,
 )
 from marlbend.topics.knowledge import Topic
+from marlbend.wire.heartbeats import ReopenedFlowUpdate
 
 __all__ = (
     'Unlisted',
@@ -54,7 +61,8 @@
     `UpstreamPool`.  `missing` and `ended` hold the upstreams without a
     registration.  `held` holds the entries of a copy that are not used, each
     with the one that is.  `seconds_by_domain` holds how much longer a domain is
-    kept out that the list of domains out does not have.
+    kept out that the list of domains out does not have.  `reopened_flows` holds
+    all flows whose SYN went to several upstreams, as the store has no flows.
     """
 
     era: int
@@ -63,6 +71,7 @@
     ended: tuple[UpstreamEntry, ...]
     held: tuple[tuple[UpstreamEntry, UpstreamEntry], ...]
     seconds_by_domain: dict[str, float]
+    reopened_flows: tuple[ReopenedFlowUpdate, ...] = ()
 
 
 _ENCODER: Final = msgspec.msgpack.Encoder()
@@ -135,12 +144,21 @@
         tuple(list_unregistered(pool, is_ended=True)),
         tuple(list_held(pool)),
         dict(_list_kept_out(node.steering, now)),
+        tuple(
+            list_latest(
+                node.steering.reopened_flows,
+                MAX_REOPENED_FLOWS,
+                now,
+                REOPENED_FLOW_SECONDS,
+            )
+        ),
     )
 
 
 def _apply(node: GossipNode, unlisted: Unlisted, now: float) -> None:
     """Add to what this instance knows; replace nothing."""
     steering = node.steering
+    merge_reopened_updates(node, unlisted.reopened_flows, now)
     if unlisted.era != node.gossip.era_by_topic[Topic.UPSTREAMS]:
         return
     for missing in unlisted.missing:
--- a/marlbend/wire/heartbeats.py
+++ b/marlbend/wire/heartbeats.py
@@ -12,6 +12,7 @@
     'Heartbeat',
     'MemberLastSeen',
     'MemberUpdate',
+    'ReopenedFlowUpdate',
     'TopicChanges',
     'TopicRevision',
     'UpstreamUpdate',
@@ -21,8 +22,9 @@
 
 MAX_PORT: Final = 65_535
 MAX_COUNT: Final = 1_000_000
-# A rank is a 32-bit checksum.
+# A rank is a 32-bit checksum, and so is a cookie.
 MAX_RANK: Final = 4_294_967_295
+FLOW_KEY_BYTES: Final = 12
 
 
 _Age = Annotated[int, msgspec.Meta(ge=0)]
@@ -32,6 +34,11 @@
 _Address = Annotated[str, msgspec.Meta(pattern=r'^\d{1,3}(\.\d{1,3}){3}$')]
 _Port = Annotated[int, msgspec.Meta(ge=1, le=MAX_PORT)]
 _Rank = Annotated[int, msgspec.Meta(ge=0, le=MAX_RANK)]
+_Cookie = Annotated[int, msgspec.Meta(ge=0, le=MAX_RANK)]
+_FlowKey = Annotated[
+    bytes,
+    msgspec.Meta(min_length=FLOW_KEY_BYTES, max_length=FLOW_KEY_BYTES),
+]
 _Era = Annotated[int, msgspec.Meta(ge=0)]
 # A number of `marlbend.steering.gossip.Topic`, or of a later release's.
 _TopicNumber = Annotated[int, msgspec.Meta(ge=0)]
@@ -128,6 +135,19 @@
     ejected_for: _Count = 0
 
 
+@final
+class ReopenedFlowUpdate(msgspec.Struct, array_like=True, frozen=True):
+    """Report which upstream holds a flow whose SYN went to several.
+
+    `cookie` is that of the upstream, zero while the sender does not know it.
+    `age` is the time since the SYN went to a second upstream.
+    """
+
+    key: _FlowKey
+    cookie: _Cookie
+    age: _Age
+
+
 @final
 class Heartbeat(msgspec.Struct, array_like=True, frozen=True):
     """Carry the gossip of one instance to another.
@@ -140,7 +160,8 @@
     slot, with the load from that whole domain, and upstreams of the receiver's
     domain that the sender uses.  `reply_requested` requests a heartbeat in
     return. `changes` holds recent changes, for instances that have the revision
-    before them.
+    before them.  `reopened_flows` holds flows whose SYN went to several
+    upstreams; instances of former releases neither send nor read it.
     """
 
     members: tuple[MemberUpdate, ...]
@@ -150,6 +171,7 @@
     reply_requested: bool = False
     changes: tuple[TopicChanges, ...] = ()
     last_seen: tuple[MemberLastSeen, ...] = ()
+    reopened_flows: tuple[ReopenedFlowUpdate, ...] = ()
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -55,6 +55,11 @@
         action='store_true',
         help='let the store come back from a copy as well',
     )
+    parser.add_argument(
+        '--lost-handshakes',
+        action='store_true',
+        help='lose SYN+ACKs before instances restart as well',
+    )
     parser.add_argument('--replay', metavar='FILE', help='a saved schedule')
     parser.add_argument('--json', action='store_true')
     return parser.parse_args()
@@ -69,6 +74,7 @@
         arguments.seconds,
         arguments.instances,
         with_returns=arguments.returns,
+        with_lost_handshakes=arguments.lost_handshakes,
     )
     return msgspec.structs.replace(schedule, idle_routes=arguments.idle_routes)
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -50,6 +50,7 @@
         'store_forgets': platform.degrade_store(Faults(forget=True)),
         'store_lapses': platform.expire_registrations,
         'store_returns': platform.return_from_copy,
+        'handshakes_lost': processes.restart_after_lost_handshakes,
         'store_away': network.impair_store_links,
         'beats_lost': network.impair_heartbeats,
         'packets_lost': network.impair_packets,
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -16,6 +16,7 @@
     'kill_many',
     'pause_instance',
     'reload_settings',
+    'restart_after_lost_handshakes',
     'shift_clock',
     'stop_instance',
 )
@@ -24,6 +25,7 @@
 RESTART_POLL_SECONDS: Final = 0.05
 KILLED_SHARE: Final = 0.6
 MAX_CLOCK_SHIFT_SECONDS: Final = 40.0
+MAX_LOST_HANDSHAKE_SHARE: Final = 0.3
 
 
 async def kill_instance(run: Run, step: Step, random: Random) -> None:
@@ -50,6 +52,19 @@
     await _terminate(run, instance, planned=True)
 
 
+async def restart_after_lost_handshakes(
+    run: Run, step: Step, random: Random
+) -> None:
+    """Lose SYN+ACKs, so that SYNs go to several upstreams; stop an instance.
+
+    The upstreams whose SYN+ACK was lost send it again for some seconds.
+    """
+    run.lost_handshake_share = random.uniform(0, MAX_LOST_HANDSHAKE_SHARE)
+    await asyncio.sleep(step.seconds)
+    run.lost_handshake_share = 0
+    await stop_instance(run, step, random)
+
+
 async def pause_instance(run: Run, step: Step, random: Random) -> None:
     """Suspend one process with SIGSTOP, and resume it."""
     instance = pick_instance(run, random)
--- a/soak/run_state.py
+++ b/soak/run_state.py
@@ -76,6 +76,7 @@
     caller's port instead of the one that the routers would choose.
     `domains_out` holds the domains that an operator has taken out.
     `unregistered` names the upstreams that serve without a registration.
+    `lost_handshake_share` is the share of SYN+ACKs that callers do not get.
     `idle_routes` is the number of routes without traffic in each release.
     `starved_seconds` is the total time in which the machine starved the run's
     processes of CPU time.
@@ -92,6 +93,7 @@
     idle_routes: int = 0
     domains_out: set[str] = set()
     unregistered: set[str] = set()
+    lost_handshake_share: float = 0
     tasks: set[asyncio.Task[None]] = set()
 
     @property
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -63,6 +63,7 @@
         # Drawn apart from the others, so that the schedules of earlier seeds
         # stay as they are.
         'store_returns': (0.5, 5, 0),
+        'handshakes_lost': (1, 4, 0),
         'pause_upstream': (0.5, 4, 2),
         'drain_upstream': (5, 7, 3),
         'add_upstream': (4, 8, 3),
@@ -104,10 +105,12 @@
     instances: int = 0,
     *,
     with_returns: bool = False,
+    with_lost_handshakes: bool = False,
 ) -> Schedule:
     """Return the schedule of a seed, by default with drawn instances.
 
-    `with_returns` adds a series in which the store comes back from a copy.
+    `with_returns` adds a series in which the store comes back from a copy, and
+    `with_lost_handshakes` one of lost SYN+ACKs that a planned restart follows.
     """
     random = Random(seed)
     drawn_instances = random.randint(MIN_INSTANCES, MAX_INSTANCES)
@@ -116,6 +119,8 @@
     steps = [step for _ in range(series) for step in _draw_series(random, end)]
     if with_returns:
         steps.extend(_draw_steps('store_returns', random, end))
+    if with_lost_handshakes:
+        steps.extend(_draw_steps('handshakes_lost', random, end))
     steps.sort(key=_start_time)
     return Schedule(seed, seconds, instances or drawn_instances, tuple(steps))
 
--- a/soak/traffic.py
+++ b/soak/traffic.py
@@ -3,8 +3,9 @@
 from functools import partial
 
 from bench.endpoints.callbacks import shorten
-from bench.endpoints.callers import Caller, is_valid_reset
+from bench.endpoints.callers import Caller, CallerFlow, is_valid_reset
 from bench.endpoints.packets import (
+    ACK,
     SYN,
     Endpoint,
     Packet,
@@ -140,24 +141,42 @@
     if flow is None or packet.source != flow.endpoint:
         return
     # Only a reset made by an instance may have an invalid checksum.
-    if not packet.is_authentic:
-        instance = run.fleet.by_address.get(sender[0])
-        if instance is None or not is_valid_reset(flow, packet):
-            caller.callbacks.report_violation(
-                'mixed', f'{sender} sent bad reset {packet}'
-            )
+    if not packet.is_authentic and not _check_instance_reset(
+        run, caller, flow, packet, sender
+    ):
+        return
+    if packet.flags == SYN | ACK:
+        if run.random.random() < run.lost_handshake_share:
             return
-        if flow.opened_at:
-            age = steady_seconds() - flow.opened_at
-            text = f'flow from {flow.source}, open for {age} s,'
-            check_reset(run.checker, instance.node.name, flow.upstream, text)
-        else:
-            _check_rejected_syn(
-                run, flow.endpoint, flow.syn_sent_at[0], sender[0]
-            )
+    # Callers echo the cookie that they received last, whoever sent it.
+    if flow.opened_at:
+        flow.cookie = packet.cookie
     flow.inbox.put_nowait(packet)
 
 
+def _check_instance_reset(
+    run: Run,
+    caller: Caller,
+    flow: CallerFlow,
+    packet: Packet,
+    sender: Endpoint,
+) -> bool:
+    """Check a reset by an instance; return whether callers accept it."""
+    instance = run.fleet.by_address.get(sender[0])
+    if instance is None or not is_valid_reset(flow, packet):
+        caller.callbacks.report_violation(
+            'mixed', f'{sender} sent bad reset {packet}'
+        )
+        return False
+    if flow.opened_at:
+        age = steady_seconds() - flow.opened_at
+        text = f'flow from {flow.source}, open for {age} s,'
+        check_reset(run.checker, instance.node.name, flow.upstream, text)
+    else:
+        _check_rejected_syn(run, flow.endpoint, flow.syn_sent_at[0], sender[0])
+    return True
+
+
 def _is_available(run: Run, upstream: UpstreamServer) -> bool:
     """Return whether every undisturbed instance must use an upstream."""
     # `cold_until` stays set after the warm-up.
