Move the choice and refusal of new flows into steering/placement

Cause: who gets a new flow, and who is refused, stood in four of 19 files side by side in steering/. The package imports nothing itself, since steering/state.py will use modules of it.

--- a/bench/strategies.py
+++ b/bench/strategies.py
@@ -16,7 +16,7 @@
     replay_arrivals,
 )
 from marlbend.steering import Upstream
-from marlbend.steering.choice import choose_upstream
+from marlbend.steering.placement.choice import choose_upstream
 from marlbend.steering.upstreams import PeerReport
 
 __all__ = ('PlacingReport', 'run_placing')
--- a/marlbend/edge/upstream_updates.py
+++ b/marlbend/edge/upstream_updates.py
@@ -12,7 +12,10 @@
 
 from marlbend.steering.failure_detection import count_busy, detect_partition
 from marlbend.steering.liveness import record_liveness
-from marlbend.steering.outlier_detection import adopt_ejection, decay_counts
+from marlbend.steering.placement.outlier_detection import (
+    adopt_ejection,
+    decay_counts,
+)
 from marlbend.steering.state import Steering
 from marlbend.steering.upstreams import PeerReport, Upstream
 from marlbend.wire.heartbeats import Heartbeat, MemberUpdate, UpstreamUpdate
--- a/marlbend/steering/flows.py
+++ b/marlbend/steering/flows.py
@@ -14,9 +14,12 @@
     record_liveness,
     record_unanswered,
 )
-from marlbend.steering.load_shedding import is_unqueued, record_service_time
-from marlbend.steering.outlier_detection import record_response
 from marlbend.steering.packet import Packet
+from marlbend.steering.placement.load_shedding import (
+    is_unqueued,
+    record_service_time,
+)
+from marlbend.steering.placement.outlier_detection import record_response
 from marlbend.steering.reopened_flows import expire_reopened
 from marlbend.steering.state import Flow, Steering
 from marlbend.steering.upstreams import Upstream
--- a/marlbend/steering/choice.py
+++ b/marlbend/steering/placement/choice.py
@@ -9,8 +9,8 @@
 from typing import Final
 
 from marlbend.steering.failure_detection import count_busy, is_suspected
-from marlbend.steering.outlier_detection import exclude_ejected
-from marlbend.steering.slow_start import can_open_flow
+from marlbend.steering.placement.outlier_detection import exclude_ejected
+from marlbend.steering.placement.slow_start import can_open_flow
 from marlbend.steering.state import Steering
 from marlbend.steering.upstreams import Upstream
 
--- a/marlbend/steering/steer.py
+++ b/marlbend/steering/steer.py
@@ -13,7 +13,6 @@
 from typing import Final
 
 from marlbend.steering.budgets import spend
-from marlbend.steering.choice import choose_ejected, choose_upstream
 from marlbend.steering.failure_detection import (
     is_given_up,
     is_presumed_dead,
@@ -31,15 +30,16 @@
     record_probe,
     record_unanswered,
 )
-from marlbend.steering.load_shedding import is_overloaded
 from marlbend.steering.packet import Packet
+from marlbend.steering.placement.choice import choose_ejected, choose_upstream
+from marlbend.steering.placement.load_shedding import is_overloaded
+from marlbend.steering.placement.slow_start import record_new_flow
 from marlbend.steering.reopened_flows import (
     add_reopened,
     confirm_cookie,
     remove_reopened,
 )
 from marlbend.steering.routes import Route, pick_service
-from marlbend.steering.slow_start import record_new_flow
 from marlbend.steering.state import Flow, Outcome, Steering
 from marlbend.steering.upstreams import Upstream
 
--- a/marlbend/test/steering.py
+++ b/marlbend/test/steering.py
@@ -17,7 +17,10 @@
     update_routes,
 )
 from marlbend.steering.flows import expire_flows
-from marlbend.steering.load_shedding import MIN_REQUESTS, record_service_time
+from marlbend.steering.placement.load_shedding import (
+    MIN_REQUESTS,
+    record_service_time,
+)
 from marlbend.steering.state import OUT_INDEFINITELY
 from marlbend.steering.steer import make_receiver, retry_unanswered_syn
 from marlbend.steering.upstreams import (
