Describe placement by work, and add its fields and setting

Cause: the parts of placement by work need the same fields of state and heartbeats. Two attributes of Upstream become one, domain_report.

--- a/marlbend/edge/reload.py
+++ b/marlbend/edge/reload.py
@@ -29,7 +29,7 @@
 
 __all__ = (
     'RunningInstance',
-    'apply_budgets',
+    'apply_cookie_settings',
     'staleness_limits',
     'watch_settings',
 )
@@ -120,8 +120,11 @@
     }
 
 
-def apply_budgets(steering: Steering, cookie_settings: CookieSettings) -> None:
-    """Limit the reactions to trouble as the settings require."""
+def apply_cookie_settings(
+    steering: Steering, cookie_settings: CookieSettings
+) -> None:
+    """Limit reactions to trouble, and place flows, as the settings require."""
+    steering.local_instance.places_by_work = cookie_settings.placement == 'work'
     steering.local_instance.budgets = make_budgets(
         cookie_settings.link_megabits, cookie_settings.processor_share
     )
@@ -152,7 +155,7 @@
     instance.node.gossip.staleness_limit_by_topic = staleness_limits(
         cookie_settings
     )
-    apply_budgets(instance.node.steering, cookie_settings)
+    apply_cookie_settings(instance.node.steering, cookie_settings)
     logging.getLogger().setLevel(settings.log_level)
     platform_address = parse_url(settings.platform)
     for watcher in instance.watchers:
--- a/marlbend/edge/upstream_updates.py
+++ b/marlbend/edge/upstream_updates.py
@@ -197,8 +197,7 @@
         }:
             _merge_update(steering, upstream, sender_update.name, update)
         elif sender_update.domain == upstream.entry.domain:
-            upstream.domain_busy = update.busy
-            upstream.domain_busy_at = now
+            upstream.domain_report = PeerReport(now, update.busy)
             update_without_busy = msgspec.structs.replace(update, busy=0)
             _merge_update(
                 steering, upstream, sender_update.name, update_without_busy
--- a/marlbend/edge/wiring.py
+++ b/marlbend/edge/wiring.py
@@ -26,7 +26,7 @@
 )
 from marlbend.edge.reload import (
     RunningInstance,
-    apply_budgets,
+    apply_cookie_settings,
     staleness_limits,
     watch_settings,
 )
@@ -239,7 +239,7 @@
         ),
         Random(),
     )
-    apply_budgets(steering, cookie_settings)
+    apply_cookie_settings(steering, cookie_settings)
     receive = make_receiver(steering)
 
     def receive_datagram(datagram: bytes) -> None:
--- a/marlbend/options.py
+++ b/marlbend/options.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Iterator
-from typing import Annotated, Final
+from typing import Annotated, Final, Literal
 
 import msgspec
 
@@ -97,6 +97,9 @@
     `link_megabits` is the bandwidth of the instance's own link in Mbit/s, and
     `processor_share` its part of a core.  They limit what the instance spends
     on reactions to trouble (`marlbend.steering.budgets`).
+
+    `placement` is how new flows are placed and refused: by counts of `requests`
+    or by outstanding `work`; see `docs/design/placement.md`.
     """
 
     fabric: EndpointText
@@ -110,6 +113,7 @@
     domain_out_milliseconds: Milliseconds = 5000
     link_megabits: Megabits = 100
     processor_share: ProcessorShare = 1
+    placement: Literal['requests', 'work'] = 'requests'
 
 
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/marlbend/steering/failure_detection.py
+++ b/marlbend/steering/failure_detection.py
@@ -197,8 +197,9 @@
         if now - report.received_at < OBSERVATION_MAX_AGE_SECONDS
     )
     total = upstream.busy + sum(reported)
-    if now - upstream.domain_busy_at < OBSERVATION_MAX_AGE_SECONDS:
-        return max(total, upstream.domain_busy)
+    domain_report = upstream.domain_report
+    if now - domain_report.received_at < OBSERVATION_MAX_AGE_SECONDS:
+        return max(total, domain_report.busy)
     return total
 
 
--- a/marlbend/steering/state.py
+++ b/marlbend/steering/state.py
@@ -9,6 +9,8 @@
 from marlbend.observe.latency import LatencyHistogram
 from marlbend.steering.budgets import make_budgets
 from marlbend.steering.packet import Packet
+from marlbend.steering.placement.admission import AdmissionState
+from marlbend.steering.placement.service_times import ServiceTimes
 from marlbend.steering.reopened_flows import ReopenedFlows
 from marlbend.steering.routes import RouteTable
 from marlbend.steering.upstreams import Upstream, UpstreamPool
@@ -234,13 +236,16 @@
 
     `handshake_times` is how long handshakes take, `response_size_by_endpoint`
     the median response size of each route, `request_times_by_service` how fast
-    each service is.
+    each service is, and `service_times` how long the requests of each route
+    take.  `admission` holds what admission control follows.
     """
 
     __slots__ = (
+        'admission',
         'handshake_times',
         'request_times_by_service',
         'response_size_by_endpoint',
+        'service_times',
     )
 
     def __init__(self) -> None:
@@ -248,6 +253,8 @@
         self.handshake_times = HandshakeTimes()
         self.response_size_by_endpoint: dict[bytes, ResponseSize] = {}
         self.request_times_by_service: dict[str, RequestTimes] = {}
+        self.service_times = ServiceTimes()
+        self.admission = AdmissionState()
 
 
 @final
@@ -259,7 +266,9 @@
     most recently contradicted this instance's suspicion of an upstream.
     `budgets` limits its reactions to trouble; whoever knows its link and its
     processor share replaces it.  `observed_at` is when the clock was last read,
-    and `resumed_at` when the process went on after a pause.
+    and `resumed_at` when the process went on after a pause.  With
+    `places_by_work`, new flows are placed and refused by outstanding work
+    instead of by counts of requests.
     """
 
     __slots__ = (
@@ -269,6 +278,7 @@
         'live_members',
         'name',
         'observed_at',
+        'places_by_work',
         'resumed_at',
     )
 
@@ -283,6 +293,7 @@
         )
         self.observed_at = float('inf')
         self.resumed_at = float('-inf')
+        self.places_by_work = False
 
 
 def observe_time(local_instance: LocalInstance, now: float) -> None:
--- a/marlbend/steering/upstreams.py
+++ b/marlbend/steering/upstreams.py
@@ -10,11 +10,14 @@
 from typing import Final, final
 
 from marlbend.steering.documents import UpstreamEntry
+from marlbend.steering.placement.speeds import Speed
 
 __all__ = (
     'HeldEntry',
+    'Request',
     'Upstream',
     'UpstreamPool',
+    'UpstreamWork',
     'derive_cookie',
 )
 
@@ -39,16 +42,21 @@
     `received_at` and `unanswered_since` are by the clock of this instance.
     `busy` counts requests in progress, and `unanswered` the packets without a
     response since `unanswered_since`.  `responses` and `short_responses` are
-    recent counts.
+    recent counts.  `work_seconds` is the outstanding work, `None` in reports of
+    a former release.  `slowdown` is the multiple of the expected time that
+    requests take, from a number of `samples`.
     """
 
     __slots__ = (
         'busy',
         'received_at',
         'responses',
+        'samples',
         'short_responses',
+        'slowdown',
         'unanswered',
         'unanswered_since',
+        'work_seconds',
     )
 
     def __init__(self, received_at: float, busy: int) -> None:
@@ -59,6 +67,9 @@
         self.short_responses = 0
         self.unanswered = 0
         self.unanswered_since: float = 0
+        self.work_seconds: float | None = None
+        self.slowdown: float = 1
+        self.samples: float = 0
 
 
 @final
@@ -115,6 +126,38 @@
         self.ejected_until: float = 0
 
 
+@final
+class Request:
+    """Hold the route and the start of one request in progress.
+
+    `endpoint` is the address and port of the route, and `started_at` in steady
+    seconds.
+    """
+
+    __slots__ = ('endpoint', 'started_at')
+
+    def __init__(self, endpoint: bytes, started_at: float) -> None:
+        """Set both."""
+        self.endpoint = endpoint
+        self.started_at = started_at
+
+
+@final
+class UpstreamWork:
+    """Hold what this instance sees of the work of an upstream.
+
+    `requests` holds its requests in progress, and `speed` how fast the upstream
+    served those that are complete.
+    """
+
+    __slots__ = ('requests', 'speed')
+
+    def __init__(self) -> None:
+        """Initialize without a request."""
+        self.requests: set[Request] = set()
+        self.speed = Speed()
+
+
 @final
 class Upstream:
     """Hold the registration and the observed state of one upstream.
@@ -124,9 +167,9 @@
     instance last sent a new flow to it, cold or warm.  `missing_since` and
     `ended_at` are zero while it is registered.  `busy` counts requests in
     progress and `flows` open flows, both as seen by this instance;
-    `report_by_member` holds what other instances see.  `domain_busy` is the
-    total of requests in progress as last reported, at `domain_busy_at`, by an
-    instance of the upstream's domain if that is a remote one.  A `shadowed`
+    `report_by_member` holds what other instances see.  `domain_report` is
+    the latest total of its domain, reported by an instance there, if that is a
+    remote one.  `work` is what this instance sees of its work.  A `shadowed`
     upstream shares its cookie with another and gets no new flow.
     """
 
@@ -134,8 +177,7 @@
         'busy',
         'cold_until',
         'cookie',
-        'domain_busy',
-        'domain_busy_at',
+        'domain_report',
         'ended_at',
         'entry',
         'flows',
@@ -146,6 +188,7 @@
         'outlier_state',
         'report_by_member',
         'shadowed',
+        'work',
     )
 
     def __init__(self, entry: UpstreamEntry, now: float) -> None:
@@ -160,11 +203,11 @@
         self.ended_at: float = 0
         self.liveness = Liveness()
         self.outlier_state = OutlierState(now)
+        self.work = UpstreamWork()
         self.busy = 0
         self.flows = 0
         self.report_by_member: dict[str, PeerReport] = {}
-        self.domain_busy = 0
-        self.domain_busy_at: float = 0
+        self.domain_report = PeerReport(0, 0)
 
 
 @final
--- a/marlbend/test/steering.py
+++ b/marlbend/test/steering.py
@@ -140,8 +140,7 @@
     def report_domain_busy(self, upstream: str, busy: str) -> None:
         """Apply the total of requests that the upstream's domain reports."""
         known = self.steering.pool.by_name[upstream]
-        known.domain_busy = int(busy)
-        known.domain_busy_at = self.now
+        known.domain_report = PeerReport(self.now, int(busy))
 
     def drop_route(self, name: str) -> None:
         """Remove a route."""
--- a/marlbend/wire/heartbeats.py
+++ b/marlbend/wire/heartbeats.py
@@ -13,6 +13,7 @@
     'MemberLastSeen',
     'MemberUpdate',
     'ReopenedFlowUpdate',
+    'RouteTimesUpdate',
     'TopicChanges',
     'TopicRevision',
     'UpstreamUpdate',
@@ -25,6 +26,8 @@
 # A rank is a 32-bit checksum, and so is a cookie.
 MAX_RANK: Final = 4_294_967_295
 FLOW_KEY_BYTES: Final = 12
+ENDPOINT_BYTES: Final = 6
+MAX_BUCKETS: Final = 24
 
 
 _Age = Annotated[int, msgspec.Meta(ge=0)]
@@ -39,6 +42,11 @@
     bytes,
     msgspec.Meta(min_length=FLOW_KEY_BYTES, max_length=FLOW_KEY_BYTES),
 ]
+_Endpoint = Annotated[
+    bytes,
+    msgspec.Meta(min_length=ENDPOINT_BYTES, max_length=ENDPOINT_BYTES),
+]
+_OptionalCount = Annotated[int, msgspec.Meta(ge=-1, le=MAX_COUNT)]
 _Era = Annotated[int, msgspec.Meta(ge=0)]
 # A number of `marlbend.steering.gossip.Topic`, or of a later release's.
 _TopicNumber = Annotated[int, msgspec.Meta(ge=0)]
@@ -122,7 +130,10 @@
     sender or reported to it.  Both ages are -1 if there is none.  `responses`
     counts recent responses and `short_responses` those that are short enough to
     be errors.  The sender ejects the upstream for another `ejected_for`
-    milliseconds, zero if it does not.
+    milliseconds, zero if it does not.  `work` is the outstanding work in
+    milliseconds, -1 if unknown, of the same requests as `busy`.  `slowdown` is
+    the time that requests take in percent of the expected one, zero if unknown,
+    from a number of `samples`.  Instances of former releases send neither.
     """
 
     cookie: int
@@ -133,6 +144,9 @@
     responses: _Count = 0
     short_responses: _Count = 0
     ejected_for: _Count = 0
+    work: _OptionalCount = -1
+    slowdown: _Count = 0
+    samples: _Count = 0
 
 
 @final
@@ -148,6 +162,18 @@
     age: _Age
 
 
+@final
+class RouteTimesUpdate(msgspec.Struct, array_like=True, frozen=True):
+    """Report the distribution of the service times of a route.
+
+    `counts` holds the measured requests by bucket; see
+    `marlbend.steering.placement.service_times`.
+    """
+
+    endpoint: _Endpoint
+    counts: Annotated[tuple[_Count, ...], msgspec.Meta(max_length=MAX_BUCKETS)]
+
+
 @final
 class Heartbeat(msgspec.Struct, array_like=True, frozen=True):
     """Carry the gossip of one instance to another.
@@ -161,7 +187,8 @@
     domain that the sender uses.  `reply_requested` requests a heartbeat in
     return. `changes` holds recent changes, for instances that have the revision
     before them.  `reopened_flows` holds flows whose SYN went to several
-    upstreams; instances of former releases neither send nor read it.
+    upstreams, and `route_times`, in replies in full only, the service times of
+    routes; instances of former releases neither send nor read them.
     """
 
     members: tuple[MemberUpdate, ...]
@@ -172,6 +199,7 @@
     changes: tuple[TopicChanges, ...] = ()
     last_seen: tuple[MemberLastSeen, ...] = ()
     reopened_flows: tuple[ReopenedFlowUpdate, ...] = ()
+    route_times: tuple[RouteTimesUpdate, ...] = ()
 
 
 _ENCODER = msgspec.msgpack.Encoder()
