Take only complete registrations for upstreams

Cause: the decoder took defaults for missing fields, and a name that ends in 0 for the host number 0, with which a datagram is meant for any host, so the check by which an upstream drops datagrams for others did not apply. Both had to be.

Change: version, seq and warmup_left_ms are required; a name with the host number zero names no upstream. born stays optional, since the store's own example of an entry lacks it.

Looked for elsewhere: domains out and routes have no defaults that name an upstream.

--- a/marlbend/platform/objects.py
+++ b/marlbend/platform/objects.py
@@ -125,7 +125,11 @@
 
 
 class _Registration(msgspec.Struct):
+    # `version` and `seq` are not used, but an entry without them is not from an
+    # upstream.
     service: str
+    version: str
+    seq: int
     # An endpoint, ADDRESS:PORT.
     address: str
     # The failure domain.
@@ -133,7 +137,7 @@
     state: str
     slots: Annotated[int, msgspec.Meta(ge=1)]
     # The remaining time until the upstream is warm, not the time elapsed.
-    warmup_left_ms: _Milliseconds = 0
+    warmup_left_ms: _Milliseconds
     # When the upstream started, in milliseconds of the wall clock.
     born: int = 0
 
@@ -213,10 +217,11 @@
 def parse_host_number(name: str) -> int | None:
     """Return the host number in an upstream's name, or `None` without one.
 
-    A host ignores datagrams that start with the number of another host.
+    A host ignores datagrams that start with the number of another host, and
+    accepts those that start with zero, so zero does not identify a host.
     """
     matched = _UPSTREAM_NAME.fullmatch(name)
-    return int(matched.group(1), _HEXADECIMAL) if matched else None
+    return int(matched.group(1), _HEXADECIMAL) or None if matched else None
 
 
 def _decode_objects(raws: list[msgspec.Raw]) -> Iterator[StoredObject]:
