Decode each entry of the store apart from the others

Cause: pages and watches are decoded as one document before their objects are, and that first step rejects the page for one value: half of a UTF-16 pair, nesting of 1,100 levels, an unknown escape.

Change: a page that is rejected is split into its values by strings and brackets alone (platform/splitting.py), and each object, and its spec, is decoded on its own. The usual page takes the same path as before. An entry whose spec cannot be read keeps its name, so its former entry is no longer used. What decodes pages moves into platform/pages.py.

The same cause elsewhere: the configuration is an object of its own page, and heartbeats are one sender's each; lists fetched from other instances hold what those decoded. Not done: entries of such a list one by one.

--- a/bench/fuzz.py
+++ b/bench/fuzz.py
@@ -24,12 +24,8 @@
     describe_upstream,
 )
 from marlbend.platform.header import decode_packet
-from marlbend.platform.objects import (
-    decode_changes,
-    decode_page,
-    decode_publication,
-    decode_upstream,
-)
+from marlbend.platform.objects import decode_publication, decode_upstream
+from marlbend.platform.pages import decode_changes, decode_page
 from marlbend.steering.documents import UpstreamEntry
 from marlbend.topics.contents import decode_topic
 from marlbend.topics.knowledge import Topic
@@ -56,6 +52,7 @@
 DEFAULT_INPUTS: Final = 100_000
 
 Decode = Callable[[bytes], object]
+_GOOD_ENTRY: Final = b'{"meta": {"name": "h-1"}}'
 _SamplesByName = Mapping[str, tuple[bytes, ...]]
 
 DOCUMENTED_ERRORS: Final = (
@@ -111,6 +108,18 @@
     return body
 
 
+def _decode_page_with_entry(body: bytes) -> None:
+    """Check that an entry of any bytes without quotes hides no other one."""
+    entry = body.replace(b'"', b'').rstrip(b'\\')
+    page = b'{"items": [%s, {"meta": {"name": "%s"}, "spec": "%s"}]}'
+    names = [
+        stored.meta.name
+        for stored in decode_page(page % (_GOOD_ENTRY, b'x-1', entry))[0]
+    ]
+    if 'h-1' not in names:
+        raise ValueError(names)
+
+
 def _decode_page_fully(body: bytes) -> None:
     for stored in decode_page(body)[0]:
         decode_publication(stored)
@@ -164,6 +173,7 @@
         'changes': _decode_changes_fully,
         'compressed': decompress,
         'heartbeat': decode_heartbeat,
+        'entry': _decode_page_with_entry,
         'packet': decode_packet,
         'page': _decode_page_fully,
         'topic configuration': _make_decoder(Topic.CONFIGURATION),
@@ -191,6 +201,7 @@
         'changes': (_make_changes(),),
         'compressed': (compress(_make_page()),),
         'heartbeat': (_make_heartbeat(),),
+        'entry': (b'v1', json.dumps('\ud83d').encode(), b'{[{[{['),
         'packet': (bytes(PACKET_BYTES), bytes(range(PACKET_BYTES))),
         'page': (_make_page(),),
         'topic configuration': (
--- a/marlbend/platform/client.py
+++ b/marlbend/platform/client.py
@@ -16,7 +16,7 @@
 from marlbend.errorcodes import ErrorKind
 from marlbend.errors import MarlbendError
 from marlbend.http import ClientResponse, Connection
-from marlbend.platform.objects import (
+from marlbend.platform.pages import (
     ObjectChange,
     StoredObject,
     decode_changes,
--- a/marlbend/platform/objects.py
+++ b/marlbend/platform/objects.py
@@ -1,17 +1,13 @@
-"""Decode the objects of the platform's store into marlbend's own types.
-
-Each object is decoded on its own, since other writers may store objects that
-cannot be decoded.  Such an object is skipped and does not affect the others.
-"""
+"""Decode the objects of the platform's store into marlbend's own types."""
 
 import re
 from collections.abc import Iterator
-from contextlib import suppress
 from typing import Annotated, Final
 
 import msgspec
 
 from marlbend.options import HOUR_MILLISECONDS, MAX_PORT
+from marlbend.platform.pages import VALUE_ERRORS, StoredObject
 from marlbend.steering.documents import (
     Publication,
     RouteSpec,
@@ -22,10 +18,6 @@
 
 __all__ = (
     'CONFIG_NAME',
-    'ObjectChange',
-    'StoredObject',
-    'decode_changes',
-    'decode_page',
     'decode_publication',
     'decode_upstream',
     'parse_host_number',
@@ -51,42 +43,6 @@
 _Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=HOUR_MILLISECONDS)]
 
 
-class _Meta(msgspec.Struct):
-    name: str
-    rev: int = 0
-    deleting: bool = False
-
-
-class StoredObject(msgspec.Struct):
-    """Hold one object of the store; `spec` and `status` are not decoded yet."""
-
-    meta: _Meta
-    spec: msgspec.Raw = msgspec.Raw(b'null')
-    status: msgspec.Raw = msgspec.Raw(b'null')
-
-
-class _Change(msgspec.Struct):
-    """Hold an object that was written, or the last state of a deleted one."""
-
-    object: msgspec.Raw
-    deleted: bool = False
-
-
-# The object, and whether it was deleted.
-ObjectChange = tuple[StoredObject, bool]
-
-
-class _ObjectList(msgspec.Struct):
-    raw_objects: list[msgspec.Raw] = msgspec.field(name='items')
-    store_revision: int = 0
-    has_more: bool = False
-
-
-class _Changes(msgspec.Struct):
-    events: list[_Change]
-    store_revision: int
-
-
 class _Backend(msgspec.Struct):
     service: str
     weight: Annotated[int, msgspec.Meta(ge=0)]
@@ -142,42 +98,11 @@
     born: int = 0
 
 
-def decode_page(
-    body: bytes,
-) -> tuple[list[StoredObject], int, bool]:
-    """Return the objects of a page, the store revision, whether more follow.
-
-    Objects that cannot be decoded are left out.  Raise `msgspec.DecodeError`
-    if the page itself cannot be decoded.
-    """
-    listed = msgspec.json.decode(body, type=_ObjectList)
-    return (
-        list(_decode_objects(listed.raw_objects)),
-        listed.store_revision,
-        listed.has_more,
-    )
-
-
-def decode_changes(body: bytes) -> tuple[list[ObjectChange], int]:
-    """Return the changes in the response to a watch, and the store revision.
-
-    Objects that cannot be decoded are left out.  Raise `msgspec.DecodeError`
-    if the response itself cannot be decoded.
-    """
-    changes = msgspec.json.decode(body, type=_Changes)
-    decoded = [
-        (stored, change.deleted)
-        for change in changes.events
-        for stored in _decode_objects([change.object])
-    ]
-    return decoded, changes.store_revision
-
-
 def decode_publication(stored: StoredObject) -> Publication | None:
     """Return the operator's configuration, or `None` if it is invalid."""
     try:
         raw = msgspec.json.decode(stored.spec, type=_OperatorConfiguration)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except VALUE_ERRORS:
         return None
     limits = {
         each.name: ServiceLimits(each.max_conns, each.warmup_per_s)
@@ -195,7 +120,7 @@
     """Return an upstream's registration, or `None` if it is invalid."""
     try:
         raw = msgspec.json.decode(stored.spec, type=_Registration)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except VALUE_ERRORS:
         return None
     endpoint = _parse_endpoint(raw.address)
     if endpoint is None or raw.state not in {_READY, _DRAINING}:
@@ -224,13 +149,6 @@
     return int(matched.group(1), _HEXADECIMAL) or None if matched else None
 
 
-def _decode_objects(raws: list[msgspec.Raw]) -> Iterator[StoredObject]:
-    for raw in raws:
-        # Skip objects that cannot be decoded.
-        with suppress(msgspec.DecodeError, UnicodeDecodeError):
-            yield msgspec.json.decode(raw, type=StoredObject)
-
-
 def _decode_routes(raw: _OperatorConfiguration) -> Iterator[RouteSpec]:
     for route in raw.routes:
         weights = tuple((each.service, each.weight) for each in route.backends)
--- a/marlbend/test/test_gossip.py
+++ b/marlbend/test/test_gossip.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from marlbend.clock import steady_seconds
-from marlbend.platform.objects import StoredObject
+from marlbend.platform.pages import StoredObject
 from marlbend.steering import Callbacks, LocalInstance, Steering
 from marlbend.steering.gossip import (
     GossipState,
--- a/marlbend/test/test_objects.py
+++ b/marlbend/test/test_objects.py
@@ -5,11 +5,8 @@
 import msgspec
 import pytest
 
-from marlbend.platform.objects import (
-    StoredObject,
-    decode_publication,
-    decode_upstream,
-)
+from marlbend.platform.objects import decode_publication, decode_upstream
+from marlbend.platform.pages import StoredObject
 from marlbend.test.edge import make_configuration, make_registration
 
 
--- a/marlbend/topics/changes.py
+++ b/marlbend/topics/changes.py
@@ -13,11 +13,8 @@
 
 from marlbend.clock import steady_seconds
 from marlbend.events import Event, emit
-from marlbend.platform.objects import (
-    ObjectChange,
-    StoredObject,
-    decode_upstream,
-)
+from marlbend.platform.objects import decode_upstream
+from marlbend.platform.pages import ObjectChange, StoredObject
 from marlbend.steering.documents import (
     Publication,
     PublicationChange,
--- a/marlbend/topics/contents.py
+++ b/marlbend/topics/contents.py
@@ -20,11 +20,10 @@
 from marlbend.events import Event, emit
 from marlbend.platform.objects import (
     CONFIG_NAME,
-    ObjectChange,
-    StoredObject,
     decode_publication,
     decode_upstream,
 )
+from marlbend.platform.pages import ObjectChange, StoredObject
 from marlbend.steering.documents import Publication, UpstreamEntry
 from marlbend.steering.routes import update_routes
 from marlbend.steering.state import OUT_INDEFINITELY, Steering
--- a/marlbend/topics/reader.py
+++ b/marlbend/topics/reader.py
@@ -23,7 +23,7 @@
 from marlbend.events import Event, emit
 from marlbend.http import ClientResponse, Connection
 from marlbend.platform.client import expect_status, read_era
-from marlbend.platform.objects import (
+from marlbend.platform.pages import (
     ObjectChange,
     StoredObject,
     decode_changes,
