Give the upstreams of tests host numbers above zero

Cause: since an upstream whose name ends with the host number zero is not used, as every upstream accepts datagrams for that number.

Change: they count from one, and expect as many upstreams as before.

--- a/bench/echo.py
+++ b/bench/echo.py
@@ -179,7 +179,7 @@
 
 
 def _upstream_name(number: int) -> str:
-    return _NAME_FORMAT.format(number)
+    return _NAME_FORMAT.format(number + 1)
 
 
 async def _write_object(
--- a/marlbend/test/test_edge.py
+++ b/marlbend/test/test_edge.py
@@ -73,7 +73,7 @@
 
 def test_paginated_list_is_read_completely() -> None:
     async def scenario(fleet: Fleet) -> None:
-        for number in range(700):
+        for number in range(1, 701):
             await fleet.register(f'i-{number:04x}')
         instance = await fleet.add('n1')
         await wait_until(lambda: len(instance.upstreams) == 701)
--- a/marlbend/test/test_propagation.py
+++ b/marlbend/test/test_propagation.py
@@ -78,7 +78,7 @@
 
 def test_storm_of_changes_to_many_upstreams_does_not_delay_them() -> None:
     async def scenario(fleet: Fleet) -> None:
-        names = [f'i-{number:04x}' for number in range(UPSTREAMS)]
+        names = [f'i-{number:04x}' for number in range(1, UPSTREAMS + 1)]
         for name in names:
             await fleet.register(name)
         for number in range(INSTANCES):
--- a/marlbend/test/test_reports.py
+++ b/marlbend/test/test_reports.py
@@ -184,7 +184,7 @@
     """Whoever is turned away fetches from the sender of a later heartbeat."""
 
     async def scenario(fleet: Fleet) -> None:
-        for number in range(200):
+        for number in range(1, 201):
             await fleet.register(f'i-{number:04x}')
         instance = await fleet.add('n1')
         await wait_until(lambda: len(instance.upstreams) > 200)
--- a/marlbend/test/test_store_return.py
+++ b/marlbend/test/test_store_return.py
@@ -29,7 +29,7 @@
 async def lose_changes(fleet: Fleet, lost_writes: int) -> None:
     """Let the store lose writes and come back from the copy before them."""
     copy = copy_store(fleet.store)
-    for number in range(lost_writes):
+    for number in range(1, lost_writes + 1):
         await fleet.register(f'i-{number:04x}')
     await asyncio.sleep(0.5)
     await set_faults(fleet.store, Faults(down=True))
@@ -284,7 +284,7 @@
 
 def test_store_that_returns_while_a_list_is_read_is_listed_again() -> None:
     async def scenario(fleet: Fleet) -> None:
-        for number in range(700):
+        for number in range(1, 701):
             await fleet.register(f'i-{number:04x}')
         await set_faults(fleet.store, Faults(delay_seconds=0.1))
         instance = await fleet.add('n1')
