Limit flows to an upstream that may have started again cold

Cause: the reader of the platform waits for 0.3 s after each change, and the other instances hear of changes through it alone. Meanwhile all of them take the upstream for the warm one of before, since it answers again. A shorter pause would only make the time shorter, and costs calls of the platform.

Change: an upstream of a service with a warm-up rate that was silent (three unanswered packets, as for a dead one) gets new flows at that rate, until the list of upstreams is as recent as its return, and for no longer than the warm-up time of the service, which the configuration gives and now is read. Without a rate nothing changes.

--- a/marlbend/platform/objects.py
+++ b/marlbend/platform/objects.py
@@ -72,6 +72,8 @@
     # The new flows per second that a cold upstream can take (warm-up rate);
     # zero means no limit.
     warmup_per_s: float = 0
+    # How long an upstream is cold after it starts.
+    warmup_s: float = 0
 
 
 class _OperatorConfiguration(msgspec.Struct):
@@ -105,7 +107,9 @@
     except VALUE_ERRORS:
         return None
     limits = {
-        each.name: ServiceLimits(each.max_conns, each.warmup_per_s)
+        each.name: ServiceLimits(
+            each.max_conns, each.warmup_per_s, each.warmup_s
+        )
         for each in raw.services
     }
     try:
--- a/marlbend/steering/documents.py
+++ b/marlbend/steering/documents.py
@@ -36,11 +36,12 @@
 
     `connections` is the maximum of open flows.  `cold_per_second` is the
     warm-up rate: the new flows per second that a cold upstream can take, zero
-    if there is no limit.
+    if there is no limit.  An upstream is cold for `cold_seconds` after a start.
     """
 
     connections: int = 0
     cold_per_second: float = 0
+    cold_seconds: float = 0
 
 
 @final
--- a/marlbend/steering/failure_detection.py
+++ b/marlbend/steering/failure_detection.py
@@ -25,6 +25,7 @@
     'detect_partition',
     'is_given_up',
     'is_presumed_dead',
+    'is_silent',
     'is_silent_unregistered',
     'is_suspected',
 )
@@ -133,6 +134,12 @@
     )
 
 
+def is_silent(upstream: Upstream, now: float) -> bool:
+    """Return whether several packets went unanswered, here or elsewhere."""
+    summary = UnansweredSummary(upstream, now)
+    return summary.unanswered >= DEAD_UNANSWERED
+
+
 def is_presumed_dead(steering: Steering, upstream: Upstream) -> bool:
     """Return whether the evidence suffices to reset open flows."""
     if _has_many_false_suspicions(steering):
--- a/marlbend/steering/liveness.py
+++ b/marlbend/steering/liveness.py
@@ -10,7 +10,7 @@
 
 from typing import Final
 
-from marlbend.steering.failure_detection import detect_partition
+from marlbend.steering.failure_detection import detect_partition, is_silent
 from marlbend.steering.state import Steering
 from marlbend.steering.upstreams import Upstream
 
@@ -70,6 +70,9 @@
     partition = steering.partition_by_domain.get(upstream.entry.domain)
     if partition is not None and alive_at > partition.since:
         steering.partition_by_domain.pop(upstream.entry.domain)
+    was_silent = upstream.liveness.unanswered and is_silent(
+        upstream, steering.now
+    )
     upstream.liveness.last_alive_at = max(
         upstream.liveness.last_alive_at, alive_at
     )
@@ -77,6 +80,8 @@
         upstream.liveness.unanswered
         and upstream.liveness.last_alive_at > upstream.liveness.unanswered_since
     ):
+        if was_silent:
+            upstream.liveness.recovered_at = steering.now
         steering.local_instance.false_suspicions.append(steering.now)
         upstream.liveness.unanswered = 0
         upstream.liveness.unanswered_since = 0
--- a/marlbend/steering/placement/slow_start.py
+++ b/marlbend/steering/placement/slow_start.py
@@ -12,6 +12,8 @@
 import zlib
 from typing import Final
 
+from marlbend.steering.documents import ServiceLimits
+from marlbend.steering.failure_detection import is_silent
 from marlbend.steering.state import Steering
 from marlbend.steering.upstreams import Upstream
 
@@ -20,12 +22,17 @@
 # How many instances send new flows to a cold upstream.  Each of them may exceed
 # its rate by one flow; the platform tolerates five flows in excess of the rate.
 MAX_SENDERS: Final = 4
+_NO_LIMITS: Final = ServiceLimits()
 
 
 def can_open_flow(steering: Steering, upstream: Upstream) -> bool:
     """Return whether a new flow may go to an upstream now."""
-    rate = _warm_up_rate(steering, upstream)
-    if not rate or upstream.cold_until <= steering.now:
+    limits = _find_limits(steering, upstream)
+    rate = limits.cold_per_second
+    is_warm = upstream.cold_until <= steering.now
+    if not rate or (
+        is_warm and not _may_have_restarted(steering, upstream, limits)
+    ):
         return True
     if not _is_sender(steering, upstream):
         return False
@@ -37,10 +44,27 @@
     upstream.last_new_flow_at = steering.now
 
 
-def _warm_up_rate(steering: Steering, upstream: Upstream) -> float:
+def _find_limits(steering: Steering, upstream: Upstream) -> ServiceLimits:
     limits = steering.routes.publication.limits_by_service
-    limit = limits.get(upstream.entry.service)
-    return limit.cold_per_second if limit else 0
+    return limits.get(upstream.entry.service, _NO_LIMITS)
+
+
+def _may_have_restarted(
+    steering: Steering, upstream: Upstream, limits: ServiceLimits
+) -> bool:
+    """Return whether an upstream may be cold although its entry is not.
+
+    It was silent, and the list of upstreams is not yet as recent as its return:
+    the reader of the platform passes changes on up to 0.3 s late, and none in
+    an outage.
+    """
+    if is_silent(upstream, steering.now):
+        return True
+    recovered_at = upstream.liveness.recovered_at
+    return (
+        recovered_at > steering.upstreams_confirmed_at
+        and steering.now - recovered_at < limits.cold_seconds
+    )
 
 
 def _is_sender(steering: Steering, upstream: Upstream) -> bool:
--- a/marlbend/steering/upstreams.py
+++ b/marlbend/steering/upstreams.py
@@ -79,13 +79,15 @@
     `last_alive_at` is the latest proof of liveness.  `unanswered` is the number
     of unanswered packets since then: the oldest was sent at `unanswered_since`,
     and the latest was found to be unanswered at `last_unanswered_at`.
-    `next_probe_at` is when a new flow may probe the upstream again.
+    `next_probe_at` is when a new flow may probe the upstream again, and
+    `recovered_at` when it last responded after several unanswered packets.
     """
 
     __slots__ = (
         'last_alive_at',
         'last_unanswered_at',
         'next_probe_at',
+        'recovered_at',
         'unanswered',
         'unanswered_since',
     )
@@ -97,6 +99,7 @@
         self.unanswered_since: float = 0
         self.last_unanswered_at: float = 0
         self.next_probe_at: float = 0
+        self.recovered_at: float = 0
 
 
 @final
--- a/marlbend/test/steering.py
+++ b/marlbend/test/steering.py
@@ -149,7 +149,7 @@
 
     def warm_up_rate(self, service: str, rate: str) -> None:
         """Set the new flows per second for each cold upstream of a service."""
-        self.limits[service] = ServiceLimits(2000, float(rate))
+        self.limits[service] = ServiceLimits(2000, float(rate), 5)
         self.publish()
 
     def upstream(
