Estimate service times and speeds from the requests of an instance

Cause: placement by work needs to know how long the requests of a route take, and which upstreams are slow; the functions returned defaults. Both are recorded with places_by_work only.

--- a/bench/fuzz.py
+++ b/bench/fuzz.py
@@ -39,6 +39,7 @@
     Heartbeat,
     MemberUpdate,
     ReopenedFlowUpdate,
+    RouteTimesUpdate,
     TopicChanges,
     TopicRevision,
     UpstreamUpdate,
@@ -155,6 +156,7 @@
             (UpstreamUpdate(1, 2, 3, 4, 5),),
             changes=(TopicChanges(1, 4, 5, b'\x80'),),
             reopened_flows=(ReopenedFlowUpdate(FLOW_KEY, 7, 5),),
+            route_times=(RouteTimesUpdate(FLOW_KEY[6:], (0, 127, 90, 1)),),
         )
     )
 
--- a/marlbend/edge/peers.py
+++ b/marlbend/edge/peers.py
@@ -44,6 +44,10 @@
     describe_member,
     remove_expired_members,
 )
+from marlbend.steering.placement.service_times import (
+    describe_times,
+    merge_times,
+)
 from marlbend.steering.reopened_flows import (
     REOPENED_FLOW_SECONDS,
     REPEAT_SECONDS,
@@ -208,12 +212,21 @@
             node.tasks.add(task)
             task.add_done_callback(node.tasks.discard)
     _start_fetching_unlisted(node, heartbeat, sender_address)
-    merge_upstream_updates(node.steering, sender_update, heartbeat, now)
-    merge_reopened_updates(node, heartbeat.reopened_flows, now)
+    _merge_updates(node, heartbeat, now)
     if heartbeat.reply_requested:
         _reply_in_full(node, sender_update.domain, sender_address)
 
 
+def _merge_updates(node: GossipNode, heartbeat: Heartbeat, now: float) -> None:
+    """Merge what the sender knows of upstreams, flows and routes."""
+    steering = node.steering
+    merge_upstream_updates(steering, heartbeat.members[0], heartbeat, now)
+    merge_reopened_updates(node, heartbeat.reopened_flows, now)
+    if steering.local_instance.places_by_work:
+        times = steering.estimates.service_times
+        merge_times(times, heartbeat.route_times, now)
+
+
 def _start_fetching_unlisted(
     node: GossipNode, heartbeat: Heartbeat, sender_address: Address
 ) -> None:
@@ -309,9 +322,15 @@
         upstreams = tuple(updates_for_local_domain(steering, now))
     else:
         upstreams = tuple(updates_for_remote_domain(steering, domain, now))
+    route_times = (
+        tuple(describe_times(steering.estimates.service_times, now))
+        if in_full and steering.local_instance.places_by_work
+        else ()
+    )
     return encode_heartbeat(
         msgspec.structs.replace(
             heartbeat,
+            route_times=route_times,
             upstreams=upstreams,
             reply_requested=reply_requested,
             reopened_flows=tuple(
--- a/marlbend/steering/flows.py
+++ b/marlbend/steering/flows.py
@@ -19,7 +19,18 @@
     is_unqueued,
     record_service_time,
 )
-from marlbend.steering.placement.outlier_detection import record_response
+from marlbend.steering.placement.outlier_detection import (
+    is_short,
+    record_response,
+)
+from marlbend.steering.placement.service_times import (
+    is_measured,
+    typical_seconds,
+)
+from marlbend.steering.placement.service_times import (
+    record_service_time as record_route_time,
+)
+from marlbend.steering.placement.speeds import record_speed
 from marlbend.steering.reopened_flows import expire_reopened
 from marlbend.steering.state import Flow, Steering
 from marlbend.steering.upstreams import Upstream
@@ -118,15 +129,43 @@
         service = flow.upstream.entry.service
         seconds = steering.now - flow.unanswered_since
         record_service_time(steering, route.spec, service, seconds)
+        if steering.local_instance.places_by_work:
+            flow.served_seconds = seconds
+            _record_served(steering, flow, packet)
     flow.is_unqueued = False
 
 
+def _record_served(steering: Steering, flow: Flow, packet: Packet) -> None:
+    """Record how long a request took, unless its response looks like an error.
+
+    An upstream that sheds requests answers them at once, and would look fast.
+    A short part of a response may be the start of a longer one, so its time is
+    kept until the response is complete.
+    """
+    endpoint = packet.endpoint
+    size = (packet.acknowledged - flow.response_start) % SEQUENCE_MODULUS
+    if not flow.served_seconds or is_short(steering, endpoint, size):
+        return
+    times = steering.estimates.service_times
+    if is_measured(times, endpoint):
+        record_speed(
+            flow.upstream.work.speed,
+            flow.served_seconds,
+            typical_seconds(times, endpoint),
+            steering.now,
+        )
+    record_route_time(times, endpoint, flow.served_seconds, steering.now)
+    flow.served_seconds = 0
+
+
 def _complete_response(
     steering: Steering,
     flow: Flow,
     packet: Packet,
 ) -> None:
     """Record the size of the response that ended before this packet."""
+    _record_served(steering, flow, packet)
+    flow.served_seconds = 0
     size = (packet.acknowledged - flow.response_start) % SEQUENCE_MODULUS
     flow.response_start = packet.acknowledged
     if not flow.is_before_data and size:
--- a/marlbend/steering/placement/outlier_detection.py
+++ b/marlbend/steering/placement/outlier_detection.py
@@ -24,6 +24,7 @@
     'decay_counts',
     'eject_if_outlier',
     'exclude_ejected',
+    'is_short',
     'record_response',
 )
 
@@ -69,18 +70,25 @@
     estimate = steering.estimates.response_size_by_endpoint.setdefault(
         endpoint, ResponseSize()
     )
-    is_short = (
-        estimate.responses >= MIN_RESPONSES
-        and size < SHORT_SHARE * estimate.median
-    )
+    looks_failed = is_short(steering, endpoint, size)
     _update_median(estimate, size)
     decay_counts(upstream, steering.now)
     upstream.outlier_state.responses += 1
-    upstream.outlier_state.short_responses += is_short
-    if is_short:
+    upstream.outlier_state.short_responses += looks_failed
+    if looks_failed:
         eject_if_outlier(steering, upstream)
 
 
+def is_short(steering: Steering, endpoint: bytes, size: int) -> bool:
+    """Return whether a response of `size` bytes looks like an error."""
+    estimate = steering.estimates.response_size_by_endpoint.get(endpoint)
+    return (
+        estimate is not None
+        and estimate.responses >= MIN_RESPONSES
+        and size < SHORT_SHARE * estimate.median
+    )
+
+
 def decay_counts(upstream: Upstream, now: float) -> None:
     """Apply the exponential decay to the response counts of an upstream."""
     factor = 0.5 ** (
--- a/marlbend/steering/state.py
+++ b/marlbend/steering/state.py
@@ -86,7 +86,8 @@
     is set until the first data; until then the sequence numbers are not valid.
     `response_start` is the sequence number at which the response to the latest
     request starts.  `is_unqueued` is set if the upstream served that request
-    without queueing it.
+    without queueing it.  `served_seconds` is how long it took, until that is
+    recorded for the route, and zero otherwise.
     """
 
     __slots__ = (
@@ -100,6 +101,7 @@
         'response_start',
         'retransmissions',
         'sequence',
+        'served_seconds',
         'tried',
         'unanswered_since',
         'upstream',
@@ -120,6 +122,7 @@
         self.retransmissions = 0
         self.busy = False
         self.is_unqueued = False
+        self.served_seconds: float = 0
 
 
 def _skip_gossip() -> None:
--- a/marlbend/wire/heartbeats.py
+++ b/marlbend/wire/heartbeats.py
@@ -166,8 +166,8 @@
 class RouteTimesUpdate(msgspec.Struct, array_like=True, frozen=True):
     """Report the distribution of the service times of a route.
 
-    `counts` holds the measured requests by bucket; see
-    `marlbend.steering.placement.service_times`.
+    `counts` holds the measured requests by bucket, scaled, without the empty
+    buckets at the end; see `marlbend.steering.placement.service_times`.
     """
 
     endpoint: _Endpoint
