Cover the cached tails and the sender of route times with tests

Cause: of 13 faults put into a scratch copy, two passed the tests: a stale cache of tails, and route times in replies of an instance that places by requests. Change: one more assertion each.

--- a/marlbend/test/test_service_times.py
+++ b/marlbend/test/test_service_times.py
@@ -92,6 +92,8 @@
     times = make_times(*(0.05 for _ in range(100)))
     assert remaining_seconds(times, ROUTE, 1) == 1
     assert remaining_seconds(times, ROUTE, 90) == 90
+    record_service_time(times, ROUTE, 4, START)
+    assert 2 < remaining_seconds(times, ROUTE, 1) < 4
 
 
 def test_few_requests_are_not_used() -> None:
@@ -166,12 +168,14 @@
     assert expected_seconds(times, ROUTE) < 4
 
 
-def restart(places_by_work: bool, is_former: bool = False) -> ServiceTimes:
+def restart(
+    *, old_by_work: bool, new_by_work: bool, is_former: bool = False
+) -> ServiceTimes:
     """Let an instance start, and get the times of another one in a reply."""
     peers = Peers()
     old, new = peers.add('n-1'), peers.add('n-2')
-    for peer in (old, new):
-        peer.driver.steering.local_instance.places_by_work = places_by_work
+    old.driver.steering.local_instance.places_by_work = old_by_work
+    new.driver.steering.local_instance.places_by_work = new_by_work
     estimates = old.driver.steering.estimates
     estimates.service_times = make_times(*draw_heavy_tail(500))
     if is_former:
@@ -197,7 +201,7 @@
 def test_estimates_survive_a_restart() -> None:
     """An instance that starts would count each request alike."""
     before = make_times(*draw_heavy_tail(500))
-    after = restart(places_by_work=True)
+    after = restart(old_by_work=True, new_by_work=True)
     for age in (0, 0.03, 0.12):
         assert remaining_seconds(after, ROUTE, age) == pytest.approx(
             remaining_seconds(before, ROUTE, age), rel=0.1
@@ -205,8 +209,10 @@
 
 
 def test_other_deployments_and_the_former_release_send_no_times() -> None:
-    assert not restart(places_by_work=False).by_endpoint
-    assert not restart(places_by_work=True, is_former=True).by_endpoint
+    assert not restart(old_by_work=False, new_by_work=True).by_endpoint
+    assert not restart(old_by_work=True, new_by_work=False).by_endpoint
+    former = restart(old_by_work=True, new_by_work=True, is_former=True)
+    assert not former.by_endpoint
 
 
 def serve(
