Add loads to bench placing that drive the production code by packets

The goals of placement by work are stated for loads that `bench placing` did not have, and it called choose_upstream directly, so changes of admission, estimates and heartbeats did not show. Five loads now send callers' packets to instances that run the production code.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -7,6 +7,7 @@
 import asyncio
 import sys
 from collections.abc import Callable, Coroutine, Mapping
+from functools import partial
 from types import MappingProxyType
 from typing import Final
 
@@ -16,6 +17,7 @@
 from bench.crash import run_crash
 from bench.demo import DemoReport, run_demo
 from bench.echo import run_echo
+from bench.placing_loads import LOAD_BY_NAME, run_load
 from bench.planned import run_planned
 from bench.steady import run_steady
 from bench.strategies import run_placing
@@ -45,10 +47,16 @@
     parser.add_argument('name', choices=sorted(MEASUREMENTS))
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--json', action='store_true')
-    arguments = parser.parse_args()
-    report: msgspec.Struct = asyncio.run(
-        MEASUREMENTS[arguments.name](arguments.seed)
+    parser.add_argument(
+        '--load', choices=LOAD_BY_NAME, help='compare the methods of placing'
     )
+    arguments = parser.parse_args()
+    measurement = MEASUREMENTS[arguments.name]
+    if arguments.load:
+        if measurement is not run_placing:
+            parser.error('--load is an option of placing')
+        measurement = partial(run_load, arguments.load)
+    report: msgspec.Struct = asyncio.run(measurement(arguments.seed))
     if not arguments.json:
         for field, figure in msgspec.to_builtins(report).items():
             sys.stdout.write(f'{field}: {figure}\n')
--- a/bench/placing.py
+++ b/bench/placing.py
@@ -6,8 +6,6 @@
 upstream sheds the requests that exceed its queue.
 """
 
-import heapq
-import itertools
 import statistics
 import time
 from collections import deque
@@ -17,6 +15,13 @@
 
 import msgspec
 
+from bench.events import (
+    Action,
+    EventQueue,
+    draw_arrival_times,
+    run_events,
+    schedule,
+)
 from marlbend.steering import (
     Callbacks,
     LocalInstance,
@@ -37,10 +42,18 @@
 __all__ = (
     'DOMAINS',
     'HEARTBEAT_SECONDS',
+    'LONG_FLOW_REQUESTS',
+    'MEAN_REQUEST_PAUSE_SECONDS',
     'SERVICE',
+    'SERVICE_TIME_SIGMA',
+    'SLOTS_PER_UPSTREAM',
+    'UNMEASURED_SECONDS',
+    'UPSTREAM_COUNT',
     'PlacementStrategy',
     'PlacingFigures',
+    'SimulatedUpstream',
     'Simulation',
+    'list_upstream_names',
     'replay_arrivals',
 )
 
@@ -70,13 +83,9 @@
 _P99_INDEX: Final = 98
 
 
-# An event of the simulation.
-Action = Callable[[], None]
 # The time at which a request was queued, and the event that starts its
 # service.
 QueuedRequest = tuple[float, Action]
-# The time, a number that orders events of the same time, and the event.
-ScheduledAction = tuple[float, int, Action]
 
 
 class PlacingFigures(msgspec.Struct, frozen=True):
@@ -127,18 +136,15 @@
 
 
 @final
-class Simulation:
+class Simulation(EventQueue):
     """Hold the clock, the upstreams, and the steering of each instance."""
 
     __slots__ = (
-        'action_numbers',
         'choice_seconds',
         'instances',
-        'now',
         'queue_seconds',
         'random',
         'remote_flows',
-        'scheduled_actions',
         'sent_bytes',
         'shed_requests',
         'upstream_by_name',
@@ -146,12 +152,10 @@
 
     def __init__(self, seed: int) -> None:
         """Initialize with idle upstreams that every instance knows."""
-        self.now: float = 0
+        super().__init__()
         self.random = Random(seed)
-        self.scheduled_actions: list[ScheduledAction] = []
-        self.action_numbers = itertools.count()
         self.upstream_by_name = {
-            name: SimulatedUpstream() for name in _list_upstream_names()
+            name: SimulatedUpstream() for name in list_upstream_names()
         }
         self.instances = [
             _make_steering(each) for each in range(INSTANCE_COUNT)
@@ -163,7 +167,8 @@
         self.choice_seconds: float = 0
 
 
-def _list_upstream_names() -> Iterator[str]:
+def list_upstream_names() -> Iterator[str]:
+    """Yield the names of the simulated upstreams."""
     for number in range(UPSTREAM_COUNT):
         yield UPSTREAM_NAME_FORMAT.format(number)
 
@@ -178,7 +183,7 @@
     callbacks = Callbacks(ignore, ignore, ignore, ignore)
     steering = Steering(local_instance, callbacks, Random(number))
     update_routes(steering.routes, Publication(1, (), {}), 0)
-    for position, name in enumerate(_list_upstream_names()):
+    for position, name in enumerate(list_upstream_names()):
         domain = DOMAINS[position % len(DOMAINS)]
         endpoint = ('127.0.0.1', ENDPOINT_PORT)
         entry = UpstreamEntry(
@@ -193,7 +198,7 @@
     simulation = Simulation(seed)
     arrivals = list(_draw_arrivals(seed))
     for arrived_at, instance, requests in arrivals:
-        _schedule(
+        schedule(
             simulation,
             arrived_at,
             _make_arrival(simulation, strategy, instance, requests),
@@ -201,17 +206,12 @@
     if strategy.receiver_count:
         for instance in range(INSTANCE_COUNT):
             first_at = simulation.random.random() * strategy.heartbeat_seconds
-            _schedule(
+            schedule(
                 simulation,
                 first_at,
                 _make_heartbeat_sender(simulation, strategy, instance),
             )
-    while simulation.scheduled_actions:
-        at, _, action = heapq.heappop(simulation.scheduled_actions)
-        if at > SIMULATED_SECONDS:
-            break
-        simulation.now = at
-        action()
+    run_events(simulation, SIMULATED_SECONDS)
     return _summarize(simulation, len(arrivals))
 
 
@@ -249,21 +249,14 @@
 def _draw_arrivals(seed: int) -> Iterator[tuple[float, int, int]]:
     """Yield the arrival time, instance and number of requests of each flow."""
     random = Random(seed)
-    arrived_at: float = 0
-    while arrived_at < SIMULATED_SECONDS:
-        arrived_at += random.expovariate(FLOWS_PER_SECOND)
+    for arrived_at in draw_arrival_times(
+        random, FLOWS_PER_SECOND, SIMULATED_SECONDS
+    ):
         is_long = random.random() < LONG_FLOW_SHARE
         requests = LONG_FLOW_REQUESTS if is_long else 1
         yield arrived_at, random.randrange(INSTANCE_COUNT), requests
 
 
-def _schedule(simulation: Simulation, at: float, action: Action) -> None:
-    heapq.heappush(
-        simulation.scheduled_actions,
-        (at, next(simulation.action_numbers), action),
-    )
-
-
 def _make_arrival(
     simulation: Simulation,
     strategy: PlacementStrategy,
@@ -311,7 +304,7 @@
             pause_seconds = simulation.random.expovariate(
                 1 / MEAN_REQUEST_PAUSE_SECONDS
             )
-            _schedule(
+            schedule(
                 simulation,
                 simulation.now + pause_seconds,
                 lambda: _start_request(simulation, upstream, requests_left - 1),
@@ -322,7 +315,7 @@
     def start_service() -> None:
         simulated.busy += 1
         simulated.service_seconds += request_service_seconds
-        _schedule(simulation, simulation.now + request_service_seconds, finish)
+        schedule(simulation, simulation.now + request_service_seconds, finish)
 
     if simulated.busy < SLOTS_PER_UPSTREAM:
         _record_queue_time(simulation, simulation.now)
@@ -362,7 +355,7 @@
         for other in simulation.random.sample(local_peers, count):
             _report_load(simulation, steering, other)
             simulation.sent_bytes += size
-        _schedule(
+        schedule(
             simulation,
             simulation.now + strategy.heartbeat_seconds,
             send_heartbeat,
--- /dev/null
+++ b/bench/placing_callers.py
@@ -0,0 +1,355 @@
+"""Simulate the callers and the upstreams of a fleet.
+
+Callers see only the packets that an instance forwards and the resets that it
+sends.  Upstreams answer callers directly, so an instance sees no responses.
+All packets of a flow reach the same instance.
+"""
+
+import enum
+import itertools
+import zlib
+from collections.abc import Callable, Iterator
+from functools import partial
+from typing import Final, final
+
+import msgspec
+
+from bench.events import schedule
+from bench.placing import (
+    SLOTS_PER_UPSTREAM,
+    SimulatedUpstream,
+    list_upstream_names,
+)
+from bench.placing_fleet import (
+    CALLER_SECONDS,
+    Fleet,
+    Instance,
+    send_to_instance,
+)
+from marlbend.steering import Packet, RouteSpec, Upstream
+
+__all__ = (
+    'CallerRequest',
+    'CallerRoute',
+    'Callers',
+    'Result',
+    'Session',
+    'connect_callers',
+    'start_session',
+)
+
+QUEUE_LIMIT: Final = 8
+# When a caller repeats a SYN, and when it gives up, after the first one.
+SYN_RETRANSMISSIONS: Final = (0.2, 0.6)
+HANDSHAKE_LIMIT_SECONDS: Final = 1.4
+MAX_TRIES: Final = 3
+RETRY_DELAY_SECONDS: Final = (0.02, 0.05)
+REQUEST_BYTES: Final = 900
+SHED_BYTES: Final = 100
+PORT_COUNT: Final = 65_536
+
+
+@enum.unique
+@final
+class Result(enum.Enum):
+    """List what becomes of a request; each request has exactly one result.
+
+    A request is in time or late if it was answered within its target or its
+    deadline, counted from its first try.  It is refused if its last try was
+    reset, and failed otherwise.
+    """
+
+    IN_TIME = 'in_time'
+    LATE = 'late'
+    REFUSED = 'refused'
+    FAILED = 'failed'
+
+
+class CallerRoute(msgspec.Struct, frozen=True):
+    """Describe the requests of one route.
+
+    `share` is its share of all requests, and `requests` how many a flow has.
+    """
+
+    spec: RouteSpec
+    deadline_seconds: float
+    mean_seconds: float
+    share: float
+    requests: int = 1
+
+
+class CallerRequest(msgspec.Struct, eq=False):
+    """Hold one request of a caller.
+
+    It is asked for at `planned_at`, or when the previous one of its session has
+    a result if that is later.  `seconds` is the time to the response, zero
+    without one.
+    """
+
+    planned_at: float
+    cost_seconds: float
+    response_bytes: int
+    asked_at: float = 0
+    tries: int = 0
+    seconds: float = 0
+    result: Result | None = None
+
+
+class CallerFlow(msgspec.Struct, eq=False):
+    """Hold the caller's side of a flow."""
+
+    key: bytes
+    endpoint: bytes
+    instance: Instance
+    cookie: int = 0
+    sequence: int = 1
+    acknowledged: int = 0
+    is_ended: bool = False
+
+
+class Session(msgspec.Struct, eq=False):
+    """Hold the requests that a caller makes one after the other.
+
+    They share one flow; a new one follows if it ends early.  `number` selects
+    the instances of `domain` that get the flows, the same with both methods.
+    `asked` is the number of requests asked for.
+    """
+
+    number: int
+    caller: int
+    route: CallerRoute
+    domain: str
+    requests: list[CallerRequest]
+    asked: int = 0
+    flow: CallerFlow | None = None
+
+    @property
+    def request(self) -> CallerRequest:
+        """Return the latest request asked for."""
+        return self.requests[self.asked - 1]
+
+
+class Callers(msgspec.Struct, eq=False):
+    """Hold the open flows, the upstreams and the counts of tries.
+
+    `find_slowdown` returns how much slower an upstream is at a time.
+    `unsettled` is the number of requests without a result.
+    """
+
+    fleet: Fleet
+    find_slowdown: Callable[[str, float], float]
+    session_by_key: dict[bytes, Session] = msgspec.field(default_factory=dict)
+    flow_numbers: Iterator[int] = msgspec.field(default_factory=itertools.count)
+    upstream_by_name: dict[str, SimulatedUpstream] = msgspec.field(
+        default_factory=lambda: {
+            name: SimulatedUpstream() for name in list_upstream_names()
+        }
+    )
+    unsettled: int = 0
+    tries: int = 0
+    shed_tries: int = 0
+
+
+def connect_callers(callers: Callers) -> None:
+    """Let the callers see what the instances do with their packets."""
+
+    def forward(packet: Packet, upstream: Upstream) -> None:
+        session = callers.session_by_key.get(packet.flow_key)
+        if session is None or session.flow is None:
+            return
+        flow = session.flow
+        if packet.is_syn:
+            schedule(
+                callers.fleet,
+                callers.fleet.now + CALLER_SECONDS,
+                lambda: _complete_handshake(
+                    callers, session, flow, upstream.cookie
+                ),
+            )
+        elif packet.payload_size:
+            _serve(callers, session, flow, upstream.name)
+
+    def reset(key: bytes) -> None:
+        session = callers.session_by_key.get(key)
+        if session is not None:
+            _end_flow(callers, session)
+            _try_again(callers, session, Result.REFUSED)
+
+    callers.fleet.forward = forward
+    callers.fleet.reset = reset
+
+
+def start_session(callers: Callers, session: Session) -> None:
+    """Ask for the requests of a session, each when it is due."""
+    callers.unsettled += len(session.requests)
+    _plan_next(callers, session)
+
+
+def _plan_next(callers: Callers, session: Session) -> None:
+    if session.asked < len(session.requests):
+        planned_at = session.requests[session.asked].planned_at
+        schedule(
+            callers.fleet,
+            max(planned_at, callers.fleet.now),
+            lambda: _ask(callers, session),
+        )
+
+
+def _ask(callers: Callers, session: Session) -> None:
+    session.asked += 1
+    session.request.asked_at = callers.fleet.now
+    _send_try(callers, session)
+
+
+def _send_try(callers: Callers, session: Session) -> None:
+    session.request.tries += 1
+    callers.tries += 1
+    if session.flow is None:
+        _open_flow(callers, session)
+    else:
+        _send_request(callers, session, session.flow)
+
+
+def _open_flow(callers: Callers, session: Session) -> None:
+    fleet = callers.fleet
+    port = next(callers.flow_numbers) % PORT_COUNT
+    address = bytes((10, 1, *session.caller.to_bytes(2)))
+    endpoint = session.route.spec.endpoint
+    key = address + port.to_bytes(2) + endpoint
+    instances = [
+        each for each in fleet.instances if each.member.domain == session.domain
+    ]
+    number = zlib.crc32(
+        f'{session.number} {session.asked} {session.request.tries}'.encode()
+    )
+    flow = CallerFlow(key, endpoint, instances[number % len(instances)])
+    session.flow = flow
+    callers.session_by_key[key] = session
+
+    def send_syn(attempt: int) -> None:
+        if not flow.cookie and not flow.is_ended:
+            packet = _make_packet(flow, is_syn=True, attempt=attempt)
+            send_to_instance(fleet, flow.instance, packet)
+
+    def give_up() -> None:
+        if not flow.cookie and not flow.is_ended:
+            _end_flow(callers, session)
+            _settle(callers, session, Result.FAILED)
+
+    send_syn(0)
+    for attempt, seconds in enumerate(SYN_RETRANSMISSIONS, 1):
+        schedule(fleet, fleet.now + seconds, partial(send_syn, attempt))
+    schedule(fleet, fleet.now + HANDSHAKE_LIMIT_SECONDS, give_up)
+
+
+def _make_packet(flow: CallerFlow, **fields: int) -> Packet:
+    packet = Packet(b'raw')
+    packet.flow_key = flow.key
+    packet.endpoint = flow.endpoint
+    packet.cookie = flow.cookie
+    packet.sequence = flow.sequence
+    packet.acknowledged = flow.acknowledged
+    for name, field in fields.items():
+        setattr(packet, name, field)
+    return packet
+
+
+def _complete_handshake(
+    callers: Callers, session: Session, flow: CallerFlow, cookie: int
+) -> None:
+    if not flow.cookie and not flow.is_ended:
+        flow.cookie = cookie
+        _send_request(callers, session, flow)
+
+
+def _send_request(callers: Callers, session: Session, flow: CallerFlow) -> None:
+    packet = _make_packet(flow, payload_size=REQUEST_BYTES)
+    flow.sequence += REQUEST_BYTES
+    send_to_instance(callers.fleet, flow.instance, packet)
+
+
+def _serve(
+    callers: Callers, session: Session, flow: CallerFlow, name: str
+) -> None:
+    """Start a request, queue it, or shed it with a short response."""
+    fleet = callers.fleet
+    upstream = callers.upstream_by_name[name]
+    request = session.request
+
+    def start() -> None:
+        upstream.busy += 1
+        slowdown = callers.find_slowdown(name, fleet.now)
+        schedule(fleet, fleet.now + request.cost_seconds * slowdown, end)
+
+    def end() -> None:
+        upstream.busy -= 1
+        respond(request.response_bytes)
+        if upstream.queue:
+            upstream.queue.popleft()[1]()
+
+    def respond(size: int) -> None:
+        schedule(
+            fleet,
+            fleet.now + CALLER_SECONDS,
+            lambda: _receive_response(callers, session, flow, size),
+        )
+
+    if upstream.busy < SLOTS_PER_UPSTREAM:
+        start()
+    elif len(upstream.queue) < QUEUE_LIMIT:
+        upstream.queue.append((fleet.now, start))
+    else:
+        respond(SHED_BYTES)
+
+
+def _receive_response(
+    callers: Callers, session: Session, flow: CallerFlow, size: int
+) -> None:
+    if flow.is_ended:
+        return
+    flow.acknowledged += size
+    request = session.request
+    is_shed = size == SHED_BYTES
+    is_closing = is_shed or session.asked == len(session.requests)
+    packet = _make_packet(flow, is_closing=is_closing)
+    send_to_instance(callers.fleet, flow.instance, packet)
+    if is_closing:
+        _end_flow(callers, session)
+    if is_shed:
+        callers.shed_tries += 1
+        _try_again(callers, session, Result.FAILED)
+        return
+    request.seconds = callers.fleet.now - request.asked_at
+    _settle(callers, session, _judge(session.route, request.seconds))
+
+
+def _judge(route: CallerRoute, seconds: float) -> Result:
+    if seconds <= route.spec.target_seconds:
+        return Result.IN_TIME
+    return Result.LATE if seconds <= route.deadline_seconds else Result.FAILED
+
+
+def _end_flow(callers: Callers, session: Session) -> None:
+    if session.flow is not None:
+        session.flow.is_ended = True
+        callers.session_by_key.pop(session.flow.key)
+        session.flow = None
+
+
+def _try_again(callers: Callers, session: Session, result: Result) -> None:
+    """Try a request on a new flow, or settle it with the result so far."""
+    fleet = callers.fleet
+    request = session.request
+    retry_at = fleet.now + fleet.random.uniform(*RETRY_DELAY_SECONDS)
+    deadline_at = request.asked_at + session.route.deadline_seconds
+    if request.tries < MAX_TRIES and retry_at < deadline_at:
+        schedule(fleet, retry_at, lambda: _send_try(callers, session))
+    else:
+        _settle(callers, session, result)
+
+
+def _settle(callers: Callers, session: Session, result: Result) -> None:
+    session.request.result = result
+    callers.unsettled -= 1
+    callers.fleet.is_running = callers.unsettled > 0
+    _plan_next(callers, session)
--- /dev/null
+++ b/bench/placing_fleet.py
@@ -0,0 +1,305 @@
+"""Run the production code of many instances under a simulated clock.
+
+The instances handle packets and exchange heartbeats as the daemon does.  The
+network between them, the upstreams and the callers only adds a delay.
+"""
+
+import time
+from collections.abc import Callable, Iterable, Iterator
+from functools import partial
+from random import Random
+from typing import Final, final
+
+import msgspec
+
+from bench.events import Action, EventQueue, schedule
+from bench.placing import (
+    DOMAINS,
+    HEARTBEAT_SECONDS,
+    SERVICE,
+    SLOTS_PER_UPSTREAM,
+    list_upstream_names,
+)
+from marlbend.edge.peers import URGENT_INTERVAL_SECONDS
+from marlbend.edge.upstream_updates import (
+    merge_upstream_updates,
+    updates_for_local_domain,
+    updates_for_remote_domain,
+    urgent_updates,
+)
+from marlbend.steering import (
+    Callbacks,
+    LocalInstance,
+    Packet,
+    Publication,
+    RouteSpec,
+    Steering,
+    Upstream,
+    UpstreamEntry,
+    update_routes,
+)
+from marlbend.steering.flows import expire_flows
+from marlbend.steering.members import (
+    Member,
+    Members,
+    choose_targets,
+    merge_member,
+)
+from marlbend.steering.steer import make_receiver, retry_unanswered_syn
+from marlbend.steering.upstreams import register_upstream
+from marlbend.wire.heartbeats import (
+    Heartbeat,
+    MemberUpdate,
+    UpstreamUpdate,
+    decode_heartbeat,
+    encode_heartbeat,
+)
+
+__all__ = (
+    'CALLER_SECONDS',
+    'Fleet',
+    'Instance',
+    'restart_instances',
+    'send_to_instance',
+    'start_fleet',
+)
+
+INSTANCE_COUNT: Final = 30
+# One-way delays of the network.
+CALLER_SECONDS: Final = 0.003
+LOCAL_SECONDS: Final = 0.0001
+REMOTE_SECONDS: Final = 0.0014
+EXPIRY_SECONDS: Final = 0.5
+CONTROL_PORT: Final = 6071
+
+
+class Instance(msgspec.Struct, eq=False):
+    """Hold one instance; a restart replaces its steering."""
+
+    member: MemberUpdate
+    members: Members
+    steering: Steering
+    receive: Callable[[Packet], None]
+    urgent_sent_at: float = 0
+
+
+class Fleet(EventQueue):
+    """Hold the instances, and what their decisions cost.
+
+    `forward` is called when a packet reaches an upstream, and `reset` when one
+    reaches the caller of a flow.  Heartbeats end with `is_running`.
+    `choice_seconds` is the processor time of all SYNs.
+    """
+
+    __slots__ = (
+        'choice_count',
+        'choice_seconds',
+        'forward',
+        'instances',
+        'is_running',
+        'places_by_work',
+        'random',
+        'reset',
+        'specs',
+    )
+
+    def __init__(
+        self, seed: int, specs: tuple[RouteSpec, ...], *, places_by_work: bool
+    ) -> None:
+        """Initialize without instances."""
+        super().__init__()
+        self.random = Random(seed)
+        self.specs = specs
+        self.places_by_work = places_by_work
+        self.instances: list[Instance] = []
+        self.is_running = True
+        self.choice_count = 0
+        self.choice_seconds: float = 0
+        self.forward: Callable[[Packet, Upstream], None]
+        self.reset: Callable[[bytes], None]
+
+
+def start_fleet(fleet: Fleet) -> None:
+    """Start instances that know each other and all upstreams."""
+    members = [
+        MemberUpdate(
+            f'n-{number}',
+            (f'10.0.0.{number + 1}', CONTROL_PORT),
+            DOMAINS[number % len(DOMAINS)],
+            0,
+            can_read=True,
+        )
+        for number in range(INSTANCE_COUNT)
+    ]
+    for member in members:
+        known = Members(Member(member, 0))
+        for other in members:
+            merge_member(known, other, 0)
+        instance = Instance(member, known, *_make_steering(fleet, member))
+        fleet.instances.append(instance)
+        _repeat(fleet, HEARTBEAT_SECONDS, _make_heartbeat(fleet, instance))
+        _repeat(fleet, EXPIRY_SECONDS, _make_expiry(fleet, instance))
+    restart_instances(fleet)
+
+
+def restart_instances(fleet: Fleet) -> None:
+    """Let all instances begin again, without estimates and known flows."""
+    live_members = tuple(
+        (each.member.name, each.member.domain) for each in fleet.instances
+    )
+    for instance in fleet.instances:
+        steering, receive = _make_steering(fleet, instance.member)
+        steering.local_instance.live_members = live_members
+        steering.callbacks.gossip_now = _make_urgent_sender(fleet, instance)
+        instance.steering = steering
+        instance.receive = receive
+
+
+def send_to_instance(fleet: Fleet, instance: Instance, packet: Packet) -> None:
+    """Send a caller's packet to an instance."""
+
+    def receive() -> None:
+        instance.steering.now = fleet.now
+        started_at = time.process_time()
+        instance.receive(packet)
+        if packet.is_syn:
+            fleet.choice_count += 1
+            fleet.choice_seconds += time.process_time() - started_at
+
+    schedule(fleet, fleet.now + CALLER_SECONDS, receive)
+
+
+def _repeat(fleet: Fleet, seconds: float, action: Action) -> None:
+    def run_once() -> None:
+        action()
+        if fleet.is_running:
+            schedule(fleet, fleet.now + seconds, run_once)
+
+    schedule(fleet, fleet.random.uniform(0, seconds), run_once)
+
+
+def _make_steering(
+    fleet: Fleet, member: MemberUpdate
+) -> tuple[Steering, Callable[[Packet], None]]:
+    def forward(packet: Packet, upstream: Upstream) -> None:
+        seconds = _one_way_seconds(member.domain, upstream.entry.domain)
+        schedule(
+            fleet,
+            fleet.now + seconds,
+            lambda: fleet.forward(packet, upstream),
+        )
+
+    def reset(packet: Packet) -> None:
+        schedule(
+            fleet,
+            fleet.now + CALLER_SECONDS,
+            lambda: fleet.reset(packet.flow_key),
+        )
+
+    def schedule_retry(seconds: float, key: bytes) -> None:
+        due_at = fleet.now + seconds
+
+        def retry() -> None:
+            steering.now = fleet.now
+            retry_unanswered_syn(steering, key, due_at)
+
+        schedule(fleet, due_at, retry)
+
+    local_instance = LocalInstance(member.name, member.domain)
+    local_instance.places_by_work = fleet.places_by_work
+    steering = Steering(
+        local_instance,
+        Callbacks(forward, reset, schedule_retry, _ignore),
+        Random(member.name),
+    )
+    _introduce(fleet, steering)
+    return steering, make_receiver(steering)
+
+
+def _ignore(*arguments: object) -> None:
+    """Discard the report of a decision."""
+
+
+def _introduce(fleet: Fleet, steering: Steering) -> None:
+    steering.now = fleet.now
+    steering.upstreams_known = True
+    steering.upstreams_confirmed_at = fleet.now
+    steering.pool.knows_ended = True
+    update_routes(steering.routes, Publication(1, fleet.specs, {}), fleet.now)
+    for position, name in enumerate(list_upstream_names()):
+        entry = UpstreamEntry(
+            name,
+            SERVICE,
+            ('127.0.0.1', CONTROL_PORT),
+            DOMAINS[position % len(DOMAINS)],
+            SLOTS_PER_UPSTREAM,
+            accepting=True,
+            cold_seconds=0,
+            born=1,
+        )
+        register_upstream(steering.pool, entry, fleet.now)
+
+
+def _one_way_seconds(domain: str, other: str) -> float:
+    return LOCAL_SECONDS if domain == other else REMOTE_SECONDS
+
+
+def _make_expiry(fleet: Fleet, instance: Instance) -> Action:
+    def expire() -> None:
+        instance.steering.now = fleet.now
+        instance.steering.upstreams_confirmed_at = fleet.now
+        expire_flows(instance.steering)
+
+    return expire
+
+
+def _make_heartbeat(fleet: Fleet, instance: Instance) -> Action:
+    def send_heartbeats() -> None:
+        steering = instance.steering
+        steering.now = fleet.now
+        for target in choose_targets(instance.members, steering.random):
+            if target.domain == instance.member.domain:
+                updates = updates_for_local_domain(steering, fleet.now)
+            else:
+                updates = updates_for_remote_domain(
+                    steering, target.domain, fleet.now
+                )
+            _send_updates(fleet, instance, updates, [target])
+
+    return send_heartbeats
+
+
+def _make_urgent_sender(fleet: Fleet, instance: Instance) -> Action:
+    def send_urgent() -> None:
+        if fleet.now - instance.urgent_sent_at >= URGENT_INTERVAL_SECONDS:
+            instance.urgent_sent_at = fleet.now
+            updates = urgent_updates(instance.steering, fleet.now)
+            _send_updates(fleet, instance, updates, instance.members.local)
+
+    return send_urgent
+
+
+def _send_updates(
+    fleet: Fleet,
+    sender: Instance,
+    updates: Iterator[UpstreamUpdate],
+    targets: Iterable[Member],
+) -> None:
+    datagram = encode_heartbeat(
+        Heartbeat((sender.member,), upstreams=tuple(updates))
+    )
+
+    def deliver(receiver: Instance) -> None:
+        heartbeat = decode_heartbeat(datagram)
+        if heartbeat is not None:
+            merge_upstream_updates(
+                receiver.steering, sender.member, heartbeat, fleet.now
+            )
+
+    names = {target.name for target in targets}
+    for receiver in fleet.instances:
+        if receiver.member.name in names:
+            seconds = _one_way_seconds(
+                sender.member.domain, receiver.member.domain
+            )
+            schedule(fleet, fleet.now + seconds, partial(deliver, receiver))
