--- /dev/null
+++ b/marlbend/test/test_placing_loads.py
@@ -0,0 +1,120 @@
+"""Check the loads of `bench placing` against what their names promise."""
+
+from collections import Counter
+
+import msgspec
+import pytest
+
+from bench.placing import UNMEASURED_SECONDS, list_upstream_names
+from bench.placing_fleet import Fleet, restart_instances, start_fleet
+from bench.placing_loads import (
+    LOAD_BY_NAME,
+    LoadFigures,
+    draw_sessions,
+    make_slowdown,
+    play_load,
+)
+
+SECONDS = 3.0
+FULL_SECONDS = 15.0
+
+
+def play(name: str, *, places_by_work: bool = False) -> LoadFigures:
+    figures = play_load(name, 7, places_by_work=places_by_work, seconds=SECONDS)
+    return msgspec.structs.replace(figures, choice_us=0)
+
+
+def list_costs(name: str) -> list[tuple[str, float]]:
+    """Return the route and the cost of each request."""
+    return [
+        (session.route.spec.name, request.cost_seconds)
+        for session in draw_sessions(LOAD_BY_NAME[name], 1, FULL_SECONDS)
+        for request in session.requests
+    ]
+
+
+def test_figures_of_one_seed_repeat() -> None:
+    assert play('tail') == play('tail')
+
+
+@pytest.mark.parametrize('name', ['scarce', 'restart'])
+@pytest.mark.parametrize('places_by_work', [False, True])
+def test_no_request_is_lost_or_counted_twice(
+    name: str, *, places_by_work: bool
+) -> None:
+    asked = sum(
+        request.planned_at >= UNMEASURED_SECONDS
+        for session in draw_sessions(LOAD_BY_NAME[name], 7, SECONDS)
+        for request in session.requests
+    )
+    figures = play(name, places_by_work=places_by_work)
+    count_by_outcome = figures.count_by_outcome
+    assert sum(count_by_outcome.values()) == asked
+    served = count_by_outcome['in_time'] + count_by_outcome.get('late', 0)
+    assert figures.served_share == pytest.approx(served / asked, abs=1e-4)
+
+
+def test_tail_has_a_few_requests_of_seven_times_the_work() -> None:
+    def count_long_per_thousand(name: str) -> int:
+        costs = [cost for route, cost in list_costs(name) if route == 'stream']
+        return sum(cost > 4 * 0.055 for cost in costs) * 1000 // len(costs)
+
+    assert count_long_per_thousand('restart') < 5
+    assert 18 <= count_long_per_thousand('tail') < 32
+
+
+@pytest.mark.parametrize(
+    ('name', 'share'), [('tail', 0.7), ('wave', 0.7), ('scarce', 1.6)]
+)
+def test_load_asks_for_its_share_of_the_capacity(
+    name: str, share: float
+) -> None:
+    asked = sum(cost for _, cost in list_costs(name))
+    slots = 2 * 60 * LOAD_BY_NAME[name].size
+    assert asked / slots / FULL_SECONDS == pytest.approx(share, rel=0.06)
+
+
+def test_slow_upstreams_are_slow_only_for_a_while() -> None:
+    find_slowdown = make_slowdown(LOAD_BY_NAME['slow'], 1, FULL_SECONDS)
+    count_by_time = {
+        now: sum(
+            find_slowdown(name, now) == 5 for name in list_upstream_names()
+        )
+        for now in (0, 4.2, 4.3, 7, 10.7, 10.8, 15)
+    }
+    assert list(count_by_time.values()) == [0, 0, 10, 10, 10, 0, 0]
+
+
+def test_wave_moves_demand_between_domains() -> None:
+    counts = Counter(
+        (session.domain, request.planned_at // 3.25)
+        for session in draw_sessions(LOAD_BY_NAME['wave'], 1, 13)
+        for request in session.requests
+    )
+    for domain in 'abc':
+        by_quarter = [counts[domain, quarter] for quarter in range(4)]
+        assert max(by_quarter) > 1.6 * min(by_quarter)
+
+
+def test_eager_callers_ask_ten_times_as_much() -> None:
+    counts = Counter(
+        session.caller
+        for session in draw_sessions(LOAD_BY_NAME['scarce'], 1, FULL_SECONDS)
+    )
+    eager = sum(counts.pop(caller) for caller in range(3)) / 3
+    assert 8 < eager / (counts.total() / len(counts)) < 12
+
+
+def test_restart_leaves_no_estimates_behind() -> None:
+    fleet = Fleet(1, (), 3, tuple(list_upstream_names()), places_by_work=True)
+    start_fleet(fleet)
+    before = [each.steering for each in fleet.instances]
+    restart_instances(fleet)
+    for instance, former in zip(fleet.instances, before, strict=True):
+        assert instance.steering.estimates is not former.estimates
+        assert instance.steering.pool is not former.pool
+        assert instance.steering.local_instance.places_by_work
+
+
+def test_open_flows_go_on_after_a_restart() -> None:
+    assert play('restart').served_share == 1
