Start the clock of the loads of placing at 1000 seconds

Steering takes time zero as never, so at the start all upstreams were reported as recently unanswered for two seconds.

--- a/bench/placing_fleet.py
+++ b/bench/placing_fleet.py
@@ -66,6 +66,8 @@
 LOCAL_SECONDS: Final = 0.0001
 REMOTE_SECONDS: Final = 0.0014
 EXPIRY_SECONDS: Final = 0.5
+# Steady seconds at the start.  Steering takes time zero as never.
+START_SECONDS: Final = 1000.0
 CONTROL_PORT: Final = 6071
 
 
@@ -105,6 +107,7 @@
         'places_by_work',
         'random',
         'reset',
+        'seed',
         'specs',
         'upstream_names',
     )
@@ -120,10 +123,13 @@
     ) -> None:
         """Initialize before the start of the instances."""
         super().__init__()
+        self.seed = seed
         self.random = Random(seed)
         self.specs = specs
         self.places_by_work = places_by_work
-        self.instances = [Instance(number) for number in range(instance_count)]
+        self.instances = [
+            Instance(number) for number in range(1, instance_count + 1)
+        ]
         self.upstream_names = upstream_names
         self.is_running = True
         self.choice_count = 0
@@ -131,6 +137,11 @@
         self.forward: Callable[[Packet, Upstream], None]
         self.reset: Callable[[bytes], None]
 
+    @property
+    def steady_now(self) -> float:
+        """Return the time on the clock of the instances."""
+        return self.now + START_SECONDS
+
 
 def start_fleet(fleet: Fleet) -> None:
     """Start instances that know each other and all upstreams."""
@@ -153,7 +164,7 @@
     """Send a caller's packet to an instance."""
 
     def receive() -> None:
-        instance.steering.now = fleet.now
+        instance.steering.now = fleet.steady_now
         started_at = time.process_time()
         instance.receive(packet)
         if packet.is_syn:
@@ -191,15 +202,15 @@
         )
 
     def schedule_retry(seconds: float, key: bytes) -> None:
-        due_at = fleet.now + seconds
+        due_at = fleet.steady_now + seconds
 
         def retry() -> None:
             # A restart loses the retries.
             if instance.steering is steering:
-                steering.now = fleet.now
+                steering.now = fleet.steady_now
                 retry_unanswered_syn(steering, key, due_at)
 
-        schedule(fleet, due_at, retry)
+        schedule(fleet, fleet.now + seconds, retry)
 
     callbacks = Callbacks(forward, reset, schedule_retry, _ignore)
     callbacks.gossip_now = _make_urgent_sender(fleet, instance)
@@ -208,7 +219,9 @@
     local_instance.live_members = tuple(
         (each.member.name, each.member.domain) for each in fleet.instances
     )
-    steering = Steering(local_instance, callbacks, Random(member.name))
+    steering = Steering(
+        local_instance, callbacks, Random(f'{fleet.seed} {member.name}')
+    )
     _introduce(fleet, steering)
     return steering
 
@@ -218,11 +231,12 @@
 
 
 def _introduce(fleet: Fleet, steering: Steering) -> None:
-    steering.now = fleet.now
+    steering.now = fleet.steady_now
     steering.upstreams_known = True
-    steering.upstreams_confirmed_at = fleet.now
+    steering.upstreams_confirmed_at = fleet.steady_now
     steering.pool.knows_ended = True
-    update_routes(steering.routes, Publication(1, fleet.specs, {}), fleet.now)
+    publication = Publication(1, fleet.specs, {})
+    update_routes(steering.routes, publication, fleet.steady_now)
     for position, name in enumerate(fleet.upstream_names):
         entry = UpstreamEntry(
             name,
@@ -234,7 +248,7 @@
             cold_seconds=0,
             born=1,
         )
-        register_upstream(steering.pool, entry, fleet.now)
+        register_upstream(steering.pool, entry, fleet.steady_now)
 
 
 def _one_way_seconds(domain: str, other: str) -> float:
@@ -243,8 +257,8 @@
 
 def _make_expiry(fleet: Fleet, instance: Instance) -> Action:
     def expire() -> None:
-        instance.steering.now = fleet.now
-        instance.steering.upstreams_confirmed_at = fleet.now
+        instance.steering.now = fleet.steady_now
+        instance.steering.upstreams_confirmed_at = fleet.steady_now
         expire_flows(instance.steering)
 
     return expire
@@ -253,13 +267,13 @@
 def _make_heartbeat(fleet: Fleet, instance: Instance) -> Action:
     def send_heartbeats() -> None:
         steering = instance.steering
-        steering.now = fleet.now
+        steering.now = fleet.steady_now
         for target in choose_targets(instance.members, steering.random):
             if target.domain == instance.member.domain:
-                updates = updates_for_local_domain(steering, fleet.now)
+                updates = updates_for_local_domain(steering, fleet.steady_now)
             else:
                 updates = updates_for_remote_domain(
-                    steering, target.domain, fleet.now
+                    steering, target.domain, fleet.steady_now
                 )
             _send_updates(fleet, instance, updates, [target])
 
@@ -270,7 +284,7 @@
     def send_urgent() -> None:
         if fleet.now - instance.urgent_sent_at >= URGENT_INTERVAL_SECONDS:
             instance.urgent_sent_at = fleet.now
-            updates = urgent_updates(instance.steering, fleet.now)
+            updates = urgent_updates(instance.steering, fleet.steady_now)
             _send_updates(fleet, instance, updates, instance.members.local)
 
     return send_urgent
@@ -290,7 +304,10 @@
         heartbeat = decode_heartbeat(datagram)
         if heartbeat is not None:
             merge_upstream_updates(
-                receiver.steering, sender.member, heartbeat, fleet.now
+                receiver.steering,
+                sender.member,
+                heartbeat,
+                fleet.steady_now,
             )
 
     names = {target.name for target in targets}
