--- a/bench/placing_fleet.py
+++ b/bench/placing_fleet.py
@@ -94,8 +94,9 @@
     """Hold the instances, and what their decisions cost.
 
     `forward` is called when a packet reaches an upstream, and `reset` when one
-    reaches the caller of a flow.  Heartbeats end with `is_running`.
-    `choice_seconds` is the processor time of all SYNs.
+    reaches the caller of a flow.  Heartbeats and maintenance stop once
+    `is_running` is unset.  `choice_seconds` is the processor time that the
+    instances take for SYNs, of which there are `choice_count`.
     """
 
     __slots__ = (
