Track the work of the requests in progress, and report it in heartbeats

Cause: placement by work needs the seconds that the requests at each upstream still take. Change: begin_request, restart_request, move_request and end_request keep Upstream.work.requests in step with the busy flows while places_by_work is set; heartbeats carry work, slowdown and samples, clipped when read; service_loads estimates the share of time in which idle flows get busy and the mean cost of a request, by which counts of a former release are converted. Checked: test_steering, test_load_shedding, test_gossip and test_overload pass.

--- a/marlbend/edge/upstream_updates.py
+++ b/marlbend/edge/upstream_updates.py
@@ -1,11 +1,12 @@
 """Exchange observations of upstreams with other instances.
 
-They concern load, unanswered packets and outlier detection.  Less is exchanged
-between failure domains, as their paths to an upstream differ.
+They concern load, speed, unanswered packets and outlier detection.  Less is
+exchanged between failure domains, as their paths to an upstream differ.
 """
 
 import heapq
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
+from math import exp2
 from typing import Final
 
 import msgspec
@@ -16,6 +17,11 @@
     adopt_ejection,
     decay_counts,
 )
+from marlbend.steering.placement.outstanding_work import (
+    own_work,
+    total_work,
+)
+from marlbend.steering.placement.speeds import Speed, find_slowdown
 from marlbend.steering.state import Steering
 from marlbend.steering.upstreams import PeerReport, Upstream
 from marlbend.wire.heartbeats import Heartbeat, MemberUpdate, UpstreamUpdate
@@ -27,7 +33,7 @@
     'urgent_updates',
 )
 
-# How many upstreams a heartbeat reports on: about 2.5 kB, a third of what fits
+# How many upstreams a heartbeat reports on: about SIZE kB, a third of what fits
 # into a datagram.
 MAX_UPDATES: Final = 100
 # How many an urgent heartbeat reports on, which then has 0.3 kB.
@@ -38,6 +44,17 @@
 # `marlbend.steering.failure_detection`.
 UNANSWERED_REPORT_SECONDS: Final = 2.0
 _MILLISECONDS_PER_SECOND: Final = 1000
+_PERCENT: Final = 100
+# Reports are clipped to these limits, so that a wrong one neither attracts all
+# flows to an upstream nor keeps it without any.
+MAX_WORK_SECONDS: Final = 60.0
+MIN_SLOWDOWN: Final = 0.25
+MAX_SLOWDOWN: Final = 16.0
+# About as many requests as an upstream serves in a few seconds.
+MAX_SAMPLES: Final = 1000
+# The weight of the samples of a speed is halved in this time, as in
+# `marlbend.steering.placement.speeds`.
+SAMPLES_HALF_LIFE_SECONDS: Final = 3.0
 
 
 def updates_for_local_domain(
@@ -47,6 +64,7 @@
 
     Of more than `MAX_UPDATES`, choose those that fail, then the busiest.
     """
+    steering.now = now
     active = [
         upstream
         for upstream in steering.pool.by_name.values()
@@ -63,7 +81,7 @@
             ),
         )
     for upstream in active:
-        yield _describe_fully(upstream, now)
+        yield _describe_fully(steering, upstream, now)
 
 
 def urgent_updates(steering: Steering, now: float) -> Iterator[UpstreamUpdate]:
@@ -71,6 +89,7 @@
 
     They are those for which a periodic heartbeat would come too late.
     """
+    steering.now = now
     failing = (
         upstream
         for upstream in steering.pool.by_name.values()
@@ -85,7 +104,7 @@
         ),
     )
     for upstream in latest:
-        yield _describe_fully(upstream, now)
+        yield _describe_fully(steering, upstream, now)
 
 
 def updates_for_remote_domain(
@@ -101,6 +120,7 @@
     Of the upstreams of the remote domain, report the requests from this
     instance.
     """
+    steering.now = now
     updates = _list_remote_updates(steering, domain, now)
     yield from heapq.nlargest(
         MAX_UPDATES, updates, key=lambda each: (each.unanswered, each.busy)
@@ -112,9 +132,10 @@
 ) -> Iterator[UpstreamUpdate]:
     for upstream in steering.pool.by_name.values():
         if upstream.entry.domain == domain and upstream.busy:
-            yield UpstreamUpdate(upstream.cookie, upstream.busy, 0, -1, -1)
+            update = UpstreamUpdate(upstream.cookie, upstream.busy, 0, -1, -1)
+            yield _add_work(steering, update, upstream, own_work)
         elif upstream.entry.domain == steering.local_instance.domain:
-            yield from _local_upstream_updates(upstream, now)
+            yield from _local_upstream_updates(steering, upstream, now)
 
 
 def _is_failing(upstream: Upstream, now: float) -> bool:
@@ -139,11 +160,13 @@
     )
 
 
-def _describe_fully(upstream: Upstream, now: float) -> UpstreamUpdate:
+def _describe_fully(
+    steering: Steering, upstream: Upstream, now: float
+) -> UpstreamUpdate:
     is_unanswered = _is_recently_unanswered(upstream, now)
     unanswered_count = upstream.liveness.unanswered if is_unanswered else 0
     ejected_seconds = max(upstream.outlier_state.ejected_until - now, 0)
-    return UpstreamUpdate(
+    update = UpstreamUpdate(
         upstream.cookie,
         upstream.busy,
         unanswered_count,
@@ -155,10 +178,11 @@
         round(upstream.outlier_state.short_responses),
         int(ejected_seconds * _MILLISECONDS_PER_SECOND),
     )
+    return _add_work(steering, update, upstream, own_work)
 
 
 def _local_upstream_updates(
-    upstream: Upstream, now: float
+    steering: Steering, upstream: Upstream, now: float
 ) -> Iterator[UpstreamUpdate]:
     is_unanswered = _is_recently_unanswered(upstream, now)
     unanswered_count = upstream.liveness.unanswered if is_unanswered else 0
@@ -169,9 +193,39 @@
             if unanswered_count
             else -1
         )
-        yield UpstreamUpdate(
+        update = UpstreamUpdate(
             upstream.cookie, busy, unanswered_count, unanswered_age, -1
         )
+        yield _add_work(steering, update, upstream, total_work)
+
+
+def _add_work(
+    steering: Steering,
+    update: UpstreamUpdate,
+    upstream: Upstream,
+    find_work: Callable[[Steering, Upstream], float],
+) -> UpstreamUpdate:
+    """Return an update with the work and the sender's own samples of speed.
+
+    One that does not place by work keeps the defaults.
+    """
+    if not steering.local_instance.places_by_work:
+        return update
+    work_seconds = min(find_work(steering, upstream), MAX_WORK_SECONDS)
+    samples = _count_samples(upstream.work.speed, steering.now)
+    slowdown = find_slowdown(upstream.work.speed, (), steering.now)
+    return msgspec.structs.replace(
+        update,
+        work=round(work_seconds * _MILLISECONDS_PER_SECOND),
+        slowdown=round(slowdown * _PERCENT) if samples else 0,
+        samples=samples,
+    )
+
+
+def _count_samples(speed: Speed, now: float) -> int:
+    age = max(now - speed.updated_at, 0)
+    remaining = exp2(-age / SAMPLES_HALF_LIFE_SECONDS)
+    return min(round(speed.weight * remaining), MAX_SAMPLES)
 
 
 def merge_upstream_updates(
@@ -183,8 +237,9 @@
     """Merge the upstream updates of a heartbeat.
 
     An update counts in full if its sender or its upstream belongs to the local
-    domain.  If both belong to the same remote domain, `busy` is the load from
-    that whole domain and not from the sender alone.  Any other is ignored.
+    domain.  If both belong to the same remote domain, `busy` and `work` are the
+    load from that whole domain and not from the sender alone.  Any other is
+    ignored.
     """
     steering.now = now
     for update in heartbeat.upstreams:
@@ -197,10 +252,12 @@
         }:
             _merge_update(steering, upstream, sender_update.name, update)
         elif sender_update.domain == upstream.entry.domain:
-            upstream.domain_report = PeerReport(now, update.busy)
-            update_without_busy = msgspec.structs.replace(update, busy=0)
+            upstream.domain_report = _make_report(update, now)
+            update_without_load = msgspec.structs.replace(
+                update, busy=0, work=0
+            )
             _merge_update(
-                steering, upstream, sender_update.name, update_without_busy
+                steering, upstream, sender_update.name, update_without_load
             )
 
 
@@ -211,7 +268,7 @@
     update: UpstreamUpdate,
 ) -> None:
     now = steering.now
-    report = PeerReport(now, update.busy)
+    report = _make_report(update, now)
     if update.unanswered:
         report.unanswered = update.unanswered
         report.unanswered_since = (
@@ -234,6 +291,19 @@
         )
 
 
+def _make_report(update: UpstreamUpdate, now: float) -> PeerReport:
+    """Return a report of load and speed, without unlikely values."""
+    report = PeerReport(now, update.busy)
+    if update.work >= 0:
+        work_seconds = update.work / _MILLISECONDS_PER_SECOND
+        report.work_seconds = min(work_seconds, MAX_WORK_SECONDS)
+    if update.slowdown:
+        slowdown = update.slowdown / _PERCENT
+        report.slowdown = min(max(slowdown, MIN_SLOWDOWN), MAX_SLOWDOWN)
+        report.samples = min(update.samples, MAX_SAMPLES)
+    return report
+
+
 def _optional_age(moment: float, now: float) -> int:
     """Return an age in milliseconds, -1 if the event never happened."""
     return int((now - moment) * _MILLISECONDS_PER_SECOND) if moment else -1
--- a/marlbend/steering/flows.py
+++ b/marlbend/steering/flows.py
@@ -20,6 +20,13 @@
     record_service_time,
 )
 from marlbend.steering.placement.outlier_detection import record_response
+from marlbend.steering.placement.outstanding_work import (
+    begin_request,
+    end_request,
+    move_request,
+    record_idle_flows,
+    restart_request,
+)
 from marlbend.steering.reopened_flows import expire_reopened
 from marlbend.steering.state import Flow, Steering
 from marlbend.steering.upstreams import Upstream
@@ -49,13 +56,14 @@
 def expire_flows(steering: Steering) -> None:
     """Remove idle flows, and stop counting requests that got no response."""
     now = steering.now
+    record_idle_flows(steering)
     expire_reopened(steering.reopened_flows, now)
     for key, flow in tuple(steering.flow_by_key.items()):
         idle = now - flow.last_packet_at
         if idle > IDLE_TIMEOUT_SECONDS:
             remove_flow(steering, key)
         elif idle > BUSY_TIMEOUT_SECONDS:
-            set_busy(flow, busy=False)
+            _end_request(steering, flow)
 
 
 def observe_packet(
@@ -102,8 +110,10 @@
     _measure_request(steering, flow, packet)
     flow.unanswered_since = 0
     flow.retransmissions = 0
-    if not packet.payload_size:
-        set_busy(flow, busy=False)
+    if packet.payload_size:
+        restart_request(steering, flow)
+    else:
+        _end_request(steering, flow)
 
 
 def _measure_request(steering: Steering, flow: Flow, packet: Packet) -> None:
@@ -140,6 +150,7 @@
         starts_request = flow.is_before_data or not flow.busy
         if starts_request:
             _complete_response(steering, flow, packet)
+        begin_request(steering, flow, packet.endpoint, now)
         flow.is_before_data = False
         flow.sequence = packet.sequence
         flow.unanswered_since = flow.unanswered_since or now
@@ -178,6 +189,7 @@
         return
     busy = flow.busy
     set_busy(flow, busy=False)
+    move_request(flow, upstream)
     flow.upstream.flows -= 1
     flow.upstream = upstream
     upstream.flows += 1
@@ -188,10 +200,15 @@
     """Remove a flow if it is tracked."""
     flow = steering.flow_by_key.pop(key, None)
     if flow is not None:
-        set_busy(flow, busy=False)
+        _end_request(steering, flow)
         flow.upstream.flows -= 1
 
 
+def _end_request(steering: Steering, flow: Flow) -> None:
+    set_busy(flow, busy=False)
+    end_request(steering, flow)
+
+
 def set_busy(flow: Flow, *, busy: bool) -> None:
     """Set whether a flow has a request in progress."""
     if flow.busy != busy:
--- a/marlbend/steering/placement/outstanding_work.py
+++ b/marlbend/steering/placement/outstanding_work.py
@@ -2,21 +2,168 @@
 
 Designed for requests of unlike cost, which a count of requests hides, and for
 many instances that know of each other's requests from heartbeats only.
+
+Requests are tracked only while flows are placed by work.  The setting may
+change at run time, so a flow may be busy without a tracked request; it counts
+as a whole request of its service.
 """
 
-from marlbend.steering.failure_detection import count_busy
-from marlbend.steering.placement.service_times import DEFAULT_SERVICE_SECONDS
-from marlbend.steering.state import Steering
-from marlbend.steering.upstreams import Upstream
+from collections import Counter
+from typing import Final
+
+from marlbend.steering.failure_detection import OBSERVATION_MAX_AGE_SECONDS
+from marlbend.steering.placement.service_loads import (
+    DEFAULT_IDLE_SHARE,
+    ServiceLoad,
+    compute_idle_share,
+    record_busy_time,
+    record_idle_time,
+    record_request_cost,
+)
+from marlbend.steering.placement.service_times import (
+    DEFAULT_SERVICE_SECONDS,
+    expected_seconds,
+    remaining_seconds,
+)
+from marlbend.steering.state import Flow, Steering
+from marlbend.steering.upstreams import PeerReport, Request, Upstream
+
+__all__ = (
+    'NOT_STARTED',
+    'begin_request',
+    'end_request',
+    'find_idle_share',
+    'find_request_seconds',
+    'move_request',
+    'own_work',
+    'record_idle_flows',
+    'restart_request',
+    'total_work',
+)
 
-__all__ = ('own_work', 'total_work')
+# The start of the request of a flow of which only the SYN was seen.
+NOT_STARTED: Final = float('inf')
 
 
 def own_work(steering: Steering, upstream: Upstream) -> float:
     """Return the remaining seconds of this instance's requests in progress."""
-    return upstream.busy * DEFAULT_SERVICE_SECONDS
+    now = steering.now
+    times = steering.estimates.service_times
+    requests = upstream.work.requests
+    work = sum(
+        remaining_seconds(times, each.endpoint, max(now - each.started_at, 0))
+        for each in requests
+    )
+    untracked = upstream.busy - len(requests)
+    if untracked > 0:
+        service = upstream.entry.service
+        work += untracked * find_request_seconds(steering, service)
+    return work
 
 
 def total_work(steering: Steering, upstream: Upstream) -> float:
     """Return the remaining seconds of all known requests in progress."""
-    return count_busy(upstream, steering.now) * DEFAULT_SERVICE_SECONDS
+    oldest = steering.now - OBSERVATION_MAX_AGE_SECONDS
+    request_seconds = find_request_seconds(steering, upstream.entry.service)
+    total = own_work(steering, upstream) + sum(
+        _reported_work(report, request_seconds)
+        for report in upstream.report_by_member.values()
+        if report.received_at > oldest
+    )
+    domain_report = upstream.domain_report
+    if domain_report.received_at > oldest:
+        return max(total, _reported_work(domain_report, request_seconds))
+    return total
+
+
+def _reported_work(report: PeerReport, request_seconds: float) -> float:
+    if report.work_seconds is None:
+        return report.busy * request_seconds
+    return report.work_seconds
+
+
+def find_request_seconds(steering: Steering, service: str) -> float:
+    """Return the expected time of the routes, weighted by their requests."""
+    load = steering.estimates.load_by_service.get(service)
+    return load.request_seconds if load else DEFAULT_SERVICE_SECONDS
+
+
+def find_idle_share(steering: Steering, service: str) -> float:
+    """Return the share of its time in which an idle flow gets busy."""
+    load = steering.estimates.load_by_service.get(service)
+    return compute_idle_share(load) if load else DEFAULT_IDLE_SHARE
+
+
+def begin_request(
+    steering: Steering, flow: Flow, endpoint: bytes, started_at: float
+) -> None:
+    """Track the request that a SYN or data of a flow begins.
+
+    Data of a request that has started changes nothing.
+    """
+    request = flow.request
+    if request is not None:
+        request.started_at = min(request.started_at, started_at)
+    elif steering.local_instance.places_by_work:
+        request = Request(endpoint, started_at)
+        request.follows_idle = not flow.is_before_data
+        flow.request = request
+        flow.upstream.work.requests.add(request)
+        record_request_cost(
+            _service_load(steering, flow.upstream),
+            expected_seconds(steering.estimates.service_times, endpoint),
+        )
+
+
+def restart_request(steering: Steering, flow: Flow) -> None:
+    """Track the next request of a flow, sent along with an acknowledgement."""
+    if flow.request is not None:
+        _record_duration(steering, flow.upstream, flow.request)
+        flow.request.started_at = steering.now
+
+
+def end_request(steering: Steering, flow: Flow) -> None:
+    """Stop tracking the request of a flow, if there is one."""
+    request = flow.request
+    if request is not None:
+        flow.request = None
+        flow.upstream.work.requests.discard(request)
+        _record_duration(steering, flow.upstream, request)
+
+
+def move_request(flow: Flow, upstream: Upstream) -> None:
+    """Track the request of a flow at the upstream that it moves to."""
+    if flow.request is not None:
+        flow.upstream.work.requests.discard(flow.request)
+        upstream.work.requests.add(flow.request)
+
+
+def record_idle_flows(steering: Steering) -> None:
+    """Add the time since the last call to that of the idle flows."""
+    if not steering.local_instance.places_by_work:
+        return
+    load_by_service = steering.estimates.load_by_service
+    idle_by_service: Counter[str] = Counter()
+    for upstream in steering.pool.by_name.values():
+        idle = max(upstream.flows - upstream.busy, 0)
+        idle_by_service[upstream.entry.service] += idle
+    for service, load in load_by_service.items():
+        record_idle_time(load, idle_by_service[service], steering.now)
+
+
+def _record_duration(
+    steering: Steering, upstream: Upstream, request: Request
+) -> None:
+    if request.follows_idle:
+        record_busy_time(
+            _service_load(steering, upstream),
+            steering.now - request.started_at,
+        )
+
+
+def _service_load(steering: Steering, upstream: Upstream) -> ServiceLoad:
+    load_by_service = steering.estimates.load_by_service
+    service = upstream.entry.service
+    if service not in load_by_service:
+        load_by_service[service] = ServiceLoad(steering.now)
+    return load_by_service[service]
--- a/marlbend/steering/state.py
+++ b/marlbend/steering/state.py
@@ -10,10 +10,11 @@
 from marlbend.steering.budgets import make_budgets
 from marlbend.steering.packet import Packet
 from marlbend.steering.placement.admission import AdmissionState
+from marlbend.steering.placement.service_loads import ServiceLoad
 from marlbend.steering.placement.service_times import ServiceTimes
 from marlbend.steering.reopened_flows import ReopenedFlows
 from marlbend.steering.routes import RouteTable
-from marlbend.steering.upstreams import Upstream, UpstreamPool
+from marlbend.steering.upstreams import Request, Upstream, UpstreamPool
 
 __all__ = (
     'OUT_INDEFINITELY',
@@ -84,9 +85,10 @@
     the oldest unacknowledged data was seen, zero if there is none, and
     `retransmissions` counts how often it was retransmitted.  `is_before_data`
     is set until the first data; until then the sequence numbers are not valid.
-    `response_start` is the sequence number at which the response to the latest
-    request starts.  `is_unqueued` is set if the upstream served that request
-    without queueing it.
+    `request` is the request in progress, `None` also if it began while flows
+    were not placed by work.  `response_start` is the sequence number at which
+    the response to the latest request starts.  `is_unqueued` is set if the
+    upstream served that request without queueing it.
     """
 
     __slots__ = (
@@ -97,6 +99,7 @@
         'last_packet_at',
         'opened_at',
         'pending_syn',
+        'request',
         'response_start',
         'retransmissions',
         'sequence',
@@ -119,6 +122,7 @@
         self.response_start = 0
         self.retransmissions = 0
         self.busy = False
+        self.request: Request | None = None
         self.is_unqueued = False
 
 
@@ -237,12 +241,14 @@
     `handshake_times` is how long handshakes take, `response_size_by_endpoint`
     the median response size of each route, `request_times_by_service` how fast
     each service is, and `service_times` how long the requests of each route
-    take.  `admission` holds what admission control follows.
+    take.  `admission` holds what admission control follows, and
+    `load_by_service` what the flows of each service bring.
     """
 
     __slots__ = (
         'admission',
         'handshake_times',
+        'load_by_service',
         'request_times_by_service',
         'response_size_by_endpoint',
         'service_times',
@@ -255,6 +261,7 @@
         self.request_times_by_service: dict[str, RequestTimes] = {}
         self.service_times = ServiceTimes()
         self.admission = AdmissionState()
+        self.load_by_service: dict[str, ServiceLoad] = {}
 
 
 @final
--- a/marlbend/steering/steer.py
+++ b/marlbend/steering/steer.py
@@ -33,6 +33,10 @@
 from marlbend.steering.packet import Packet
 from marlbend.steering.placement.choice import choose_ejected, choose_upstream
 from marlbend.steering.placement.load_shedding import is_overloaded
+from marlbend.steering.placement.outstanding_work import (
+    NOT_STARTED,
+    begin_request,
+)
 from marlbend.steering.placement.slow_start import record_new_flow
 from marlbend.steering.reopened_flows import (
     add_reopened,
@@ -161,6 +165,7 @@
     flow = add_flow(steering, packet.flow_key, upstream)
     flow.pending_syn = packet
     set_busy(flow, busy=True)
+    begin_request(steering, flow, packet.endpoint, NOT_STARTED)
     remove_reopened(steering.reopened_flows, packet.flow_key)
     if packet.attempt:
         # Another instance may have sent the first SYN to another upstream.
--- a/marlbend/steering/upstreams.py
+++ b/marlbend/steering/upstreams.py
@@ -131,15 +131,17 @@
     """Hold the route and the start of one request in progress.
 
     `endpoint` is the address and port of the route, and `started_at` in steady
-    seconds.
+    seconds, infinite while only the SYN of its flow was seen.  `follows_idle`
+    is set if its flow had been open without a request before.
     """
 
-    __slots__ = ('endpoint', 'started_at')
+    __slots__ = ('endpoint', 'follows_idle', 'started_at')
 
     def __init__(self, endpoint: bytes, started_at: float) -> None:
-        """Set both."""
+        """Set both; the request is taken for the first one of its flow."""
         self.endpoint = endpoint
         self.started_at = started_at
+        self.follows_idle = False
 
 
 @final
