--- a/marlbend/steering/placement/admission.py
+++ b/marlbend/steering/placement/admission.py
@@ -1,13 +1,90 @@
 """Decide whether a new flow is admitted, held for a moment, or refused.
 
 Designed for more requests than the upstreams can serve in time, on many
-instances that know only a part of the load.
+instances that know only a part of the load.  Each instance follows what the
+upstreams shed of its own flows, so that the sum over all instances fits even if
+none receives a heartbeat: each shed response lowers the share of flows that are
+admitted, each response in time and each second raises it.  The lowest priority
+has the whole reduction before the next one has any.
+
+An expected wait is no measure of the sum: an upstream with a short queue sheds
+long before a request would miss a target of some hundred milliseconds.  So the
+target alone limits the wait, and the share limits the number.
 """
 
 import enum
-from typing import final
+import math
+from typing import Final, final
+
+from marlbend.steering.placement.callers import (
+    CallerShares,
+    is_over_share,
+    record_admitted,
+    record_refused,
+    was_refused,
+)
+from marlbend.steering.placement.held_flows import find_deadline
+
+__all__ = (
+    'AdmissionRequest',
+    'AdmissionState',
+    'ServiceAdmission',
+    'Verdict',
+    'VerdictKind',
+    'allowed_wait',
+    'decide',
+    'find_limit',
+    'record_served',
+    'record_shed',
+    'record_verdict',
+)
+
+# The share of the target latency that a request may be expected to take.
+TARGET_SHARE: Final = 0.8
+# Each step of priority above the lowest raises it by this share.
+PRIORITY_SHARE: Final = 0.5
+# Changes of the logarithm of the admitted share with each response that was
+# shed, and with each one that was served in time.  About a twentieth of the
+# responses or fewer is shed then, and a caller with three tries fails rarely.
+SHED_STEP: Final = 0.2
+SERVED_STEP: Final = 0.01
+# The pressure halves in this time.
+PRESSURE_HALF_LIFE_SECONDS: Final = 2.0
+# Up to this pressure nothing is refused: an upstream that fails has three short
+# responses before it is ejected, and these look shed.
+PRESSURE_SLACK: Final = 0.7
+# A priority is limited once the pressure is higher by this much than where the
+# one below began to be limited, whose share is then at its minimum.
+PRESSURE_PER_STEP: Final = 4.0
+MIN_LIMIT: Final = 0.02
+# A free slot known to this instance is not believed for this long after an
+# upstream with a free slot shed a request: others fill what it can't see.
+DISBELIEF_SECONDS: Final = 0.5
+# A service is in contention for this long after a flow was shed or refused.
+CONTENTION_SECONDS: Final = 5.0
+# What a flow needs of its priority's credit, to which each flow adds the
+# admitted share.  Callers above their share give way to three others, and a
+# refused one comes first.
+USUAL_CREDIT: Final = 1.0
+OVER_SHARE_CREDIT: Final = 4.0
+REFUSED_CREDIT: Final = 0.75
+OVER_SHARE_WAIT: Final = 0.5
+REFUSED_WAIT: Final = 1.25
+# A flow is held only if capacity is expected within this time.
+MAX_ROOM_SECONDS: Final = 0.1
+# The weight of one flow in the mean target of its service.
+TARGET_WEIGHT: Final = 0.05
+# Above these numbers, the oldest service is removed, and further verdicts are
+# counted without their route.
+MAX_SERVICES: Final = 64
+MAX_CALLER_TABLES: Final = 4
+MAX_COUNTERS: Final = 1_024
 
-__all__ = ('AdmissionState', 'Verdict', 'VerdictKind')
+ROOM: Final = 'room'
+NO_ROOM: Final = 'no room in time'
+PRIORITY: Final = 'priority'
+CALLER_SHARE: Final = 'caller share'
+WAIT: Final = 'wait'
 
 
 @enum.unique
@@ -32,12 +109,325 @@
         self.reason = reason
 
 
+@final
+class AdmissionRequest:
+    """Hold what one decision depends on.
+
+    `caller` is the four bytes of an address.  `priority_steps` counts the steps
+    above the lowest priority of the service.  `completion_seconds` is the
+    expected time to complete the request at the best candidate, and
+    `cost_seconds` the expected service time.  `room_seconds` is the expected
+    time until that candidate has capacity, infinite if unknown.
+
+    `has_free_slot` is set if an upstream that may get the flow has a free slot,
+    `is_measured` if the service times of the route are known, and
+    `is_route_served` if a flow of the route was admitted or served within the
+    last second.
+    """
+
+    __slots__ = (
+        'caller',
+        'completion_seconds',
+        'cost_seconds',
+        'endpoint',
+        'has_free_slot',
+        'is_measured',
+        'is_route_served',
+        'priority_steps',
+        'room_seconds',
+        'service',
+        'target_seconds',
+    )
+
+    def __init__(self, service: str, endpoint: bytes, caller: bytes) -> None:
+        """Initialize as a flow of a route without a target."""
+        self.service = service
+        self.endpoint = endpoint
+        self.caller = caller
+        self.target_seconds: float = 0
+        self.priority_steps = 0
+        self.completion_seconds: float = 0
+        self.cost_seconds: float = 0
+        self.room_seconds = math.inf
+        self.has_free_slot = False
+        self.is_measured = False
+        self.is_route_served = True
+
+
+@final
+class ServiceAdmission:
+    """Hold what admission control follows for one service.
+
+    `pressure` is the negative logarithm of the admitted share of the lowest
+    priority, plus the slack, as of `updated_at`.  `disbelieved_at` is when an
+    upstream with a free slot last shed a request, `contended_at` when a flow
+    was last shed or refused.  `steps` is the highest number of steps of
+    priority seen, `target_seconds` the mean target.
+    """
+
+    __slots__ = (
+        'caller_shares',
+        'contended_at',
+        'credit_by_steps',
+        'disbelieved_at',
+        'pressure',
+        'steps',
+        'target_seconds',
+        'updated_at',
+    )
+
+    def __init__(self) -> None:
+        """Initialize without any pressure."""
+        self.pressure: float = 0
+        self.updated_at: float = 0
+        self.disbelieved_at = -math.inf
+        self.contended_at = -math.inf
+        self.steps = 0
+        self.target_seconds: float = 0
+        self.credit_by_steps: dict[int, float] = {}
+        self.caller_shares = CallerShares()
+
+
 @final
 class AdmissionState:
-    """Hold the limit of each service, and the shares of callers."""
+    """Hold the state of each service, and counts of verdicts.
 
-    __slots__ = ('limit_by_service',)
+    The keys of the counts are the endpoint of the route, the kind of verdict
+    and its reason.
+    """
+
+    __slots__ = ('by_service', 'counts')
 
     def __init__(self) -> None:
-        """Initialize without a limit."""
-        self.limit_by_service: dict[str, float] = {}
+        """Initialize without a service."""
+        self.by_service: dict[str, ServiceAdmission] = {}
+        self.counts: dict[tuple[bytes, str, str], int] = {}
+
+
+def decide(
+    state: AdmissionState, request: AdmissionRequest, now: float
+) -> Verdict:
+    """Return what to do with a new flow; change nothing."""
+    if not request.target_seconds or not request.is_measured:
+        return Verdict(VerdictKind.ADMIT, ROOM)
+    known = state.by_service.get(request.service, _UNKNOWN)
+    is_believed = now - known.disbelieved_at > DISBELIEF_SECONDS
+    if request.has_free_slot and is_believed:
+        return Verdict(VerdictKind.ADMIT, ROOM)
+    reason = _find_obstacle(state, known, request, now)
+    if not reason:
+        return Verdict(VerdictKind.ADMIT, ROOM)
+    if _can_wait(state, request, now):
+        return Verdict(VerdictKind.HOLD, WAIT)
+    return Verdict(VerdictKind.REFUSE, reason)
+
+
+def allowed_wait(
+    state: AdmissionState, request: AdmissionRequest, now: float
+) -> float:
+    """Return how long a request may be expected to take, in seconds.
+
+    A route of which nothing is served is judged by the mean target of the
+    service, if that is longer.  Otherwise routes with longer targets would fill
+    the queues up to theirs, and starve it for as long as the overload lasts.
+    """
+    known = state.by_service.get(request.service, _UNKNOWN)
+    target = request.target_seconds
+    if not request.is_route_served:
+        target = max(target, known.target_seconds)
+    steps = request.priority_steps
+    allowed = TARGET_SHARE * (1 + PRIORITY_SHARE * steps) * target
+    if not _is_contended(known, now):
+        return allowed
+    if is_over_share(known.caller_shares, request.caller, now):
+        return allowed * OVER_SHARE_WAIT
+    if was_refused(known.caller_shares, request.caller, now):
+        return allowed * REFUSED_WAIT
+    return allowed
+
+
+def find_limit(
+    state: AdmissionState, service: str, priority_steps: int, now: float
+) -> float:
+    """Return the share of the flows of a priority that is admitted."""
+    known = state.by_service.get(service, _UNKNOWN)
+    excess = _find_pressure(known, now) - PRESSURE_SLACK
+    excess -= priority_steps * PRESSURE_PER_STEP
+    return max(math.exp(-max(excess, 0)), MIN_LIMIT)
+
+
+def record_verdict(
+    state: AdmissionState,
+    request: AdmissionRequest,
+    verdict: Verdict,
+    now: float,
+) -> None:
+    """Count a verdict, and remember what later decisions depend on."""
+    _count(state, request, verdict)
+    if verdict.kind is VerdictKind.HOLD or not request.target_seconds:
+        return
+    known = _find_service(state, request.service)
+    known.steps = max(known.steps, request.priority_steps)
+    if not known.target_seconds:
+        known.target_seconds = request.target_seconds
+    excess = request.target_seconds - known.target_seconds
+    known.target_seconds += TARGET_WEIGHT * excess
+    is_admitted = verdict.kind is VerdictKind.ADMIT
+    known.credit_by_steps[request.priority_steps] = max(
+        _find_credit(state, known, request, now) - is_admitted, 0
+    )
+    _record_caller(state, known, request, now, is_admitted=is_admitted)
+
+
+def record_shed(
+    state: AdmissionState,
+    service: str,
+    now: float,
+    *,
+    had_free_slot: bool = False,
+) -> None:
+    """Lower the admitted share after a response that looks shed.
+
+    `had_free_slot` is set if this instance knew of a free slot at the upstream,
+    which shows that it does not know the whole load.
+    """
+    known = _find_service(state, service)
+    _start_contention(state, known, now)
+    highest = PRESSURE_SLACK + known.steps * PRESSURE_PER_STEP
+    known.pressure = min(
+        _find_pressure(known, now) + SHED_STEP, highest - math.log(MIN_LIMIT)
+    )
+    known.updated_at = now
+    if had_free_slot and known.pressure > PRESSURE_SLACK:
+        known.disbelieved_at = now
+
+
+def record_served(
+    state: AdmissionState, service: str, *, in_time: bool, now: float
+) -> None:
+    """Raise the admitted share after a response that met its target."""
+    known = state.by_service.get(service)
+    if in_time and known is not None:
+        known.pressure = max(_find_pressure(known, now) - SERVED_STEP, 0)
+        known.updated_at = now
+
+
+def _find_obstacle(
+    state: AdmissionState,
+    known: ServiceAdmission,
+    request: AdmissionRequest,
+    now: float,
+) -> str:
+    """Return the reason not to admit a flow now, empty if there is none."""
+    is_over = _is_contended(known, now) and is_over_share(
+        known.caller_shares, request.caller, now
+    )
+    allowed = allowed_wait(state, request, now)
+    if request.completion_seconds > allowed:
+        usual = allowed / OVER_SHARE_WAIT if is_over else allowed
+        is_late = request.completion_seconds > usual
+        return NO_ROOM if is_late else CALLER_SHARE
+    if find_limit(state, request.service, request.priority_steps, now) == 1:
+        return ''
+    needed = USUAL_CREDIT
+    if is_over:
+        needed = OVER_SHARE_CREDIT
+    elif was_refused(known.caller_shares, request.caller, now):
+        needed = REFUSED_CREDIT
+    credit = _find_credit(state, known, request, now)
+    if credit >= needed:
+        return ''
+    return CALLER_SHARE if credit >= USUAL_CREDIT else PRIORITY
+
+
+def _find_credit(
+    state: AdmissionState,
+    known: ServiceAdmission,
+    request: AdmissionRequest,
+    now: float,
+) -> float:
+    """Return the credit of a priority with what one more flow adds to it."""
+    steps = request.priority_steps
+    added = find_limit(state, request.service, steps, now)
+    credit = known.credit_by_steps.get(steps, 0) + added
+    return min(credit, OVER_SHARE_CREDIT)
+
+
+def _can_wait(
+    state: AdmissionState, request: AdmissionRequest, now: float
+) -> bool:
+    """Return whether capacity for a flow is certain to be available soon.
+
+    It is not while the priority is limited, as others compete for it.
+    """
+    limit = find_limit(state, request.service, request.priority_steps, now)
+    if limit < 1 or request.room_seconds >= MAX_ROOM_SECONDS:
+        return False
+    deadline = find_deadline(request.target_seconds, request.cost_seconds, now)
+    return now + request.room_seconds < deadline
+
+
+def _record_caller(
+    state: AdmissionState,
+    known: ServiceAdmission,
+    request: AdmissionRequest,
+    now: float,
+    *,
+    is_admitted: bool,
+) -> None:
+    """Update the shares of the callers, which are kept only in contention."""
+    if not is_admitted:
+        _start_contention(state, known, now)
+        record_refused(known.caller_shares, request.caller, now)
+    elif _is_contended(known, now):
+        record_admitted(
+            known.caller_shares, request.caller, request.cost_seconds, now
+        )
+
+
+def _start_contention(
+    state: AdmissionState, known: ServiceAdmission, now: float
+) -> None:
+    if not _is_contended(known, now):
+        known.caller_shares = CallerShares()
+        contended = [
+            each
+            for each in state.by_service.values()
+            if each.caller_shares.by_caller
+        ]
+        if len(contended) >= MAX_CALLER_TABLES:
+            oldest = min(contended, key=lambda each: each.contended_at)
+            oldest.caller_shares = CallerShares()
+    known.contended_at = now
+
+
+def _is_contended(known: ServiceAdmission, now: float) -> bool:
+    return now - known.contended_at < CONTENTION_SECONDS
+
+
+def _find_pressure(known: ServiceAdmission, now: float) -> float:
+    elapsed = max(now - known.updated_at, 0)
+    return known.pressure * math.exp2(-elapsed / PRESSURE_HALF_LIFE_SECONDS)
+
+
+def _find_service(state: AdmissionState, service: str) -> ServiceAdmission:
+    known = state.by_service.get(service)
+    if known is None:
+        if len(state.by_service) >= MAX_SERVICES:
+            state.by_service.pop(next(iter(state.by_service)))
+        known = ServiceAdmission()
+        state.by_service[service] = known
+    return known
+
+
+def _count(
+    state: AdmissionState, request: AdmissionRequest, verdict: Verdict
+) -> None:
+    key = (request.endpoint, verdict.kind.value, verdict.reason)
+    if key not in state.counts and len(state.counts) >= MAX_COUNTERS:
+        key = (b'', verdict.kind.value, verdict.reason)
+    state.counts[key] = state.counts.get(key, 0) + 1
+
+
+# What is known of a service before its first verdict; it is never changed.
+_UNKNOWN: Final = ServiceAdmission()
