--- a/marlbend/steering/placement/admission.py
+++ b/marlbend/steering/placement/admission.py
@@ -63,11 +63,15 @@
 PRESSURE_SLACK: Final = 0.7
 # A priority is limited once the pressure is higher by this much than where the
 # one below began to be limited, whose share is then at its minimum.
-PRESSURE_PER_STEP: Final = 4.0
-MIN_LIMIT: Final = 0.02
+PRESSURE_PER_STEP: Final = 5.5
+# With 0.02 and three tries, five times the capacity still brings a sixth of it
+# in flows of the lowest priority while higher ones are refused.
+MIN_LIMIT: Final = 0.005
 # A free slot known to this instance is not believed for this long after an
-# upstream with a free slot shed a request: others fill what it can't see.
-DISBELIEF_SECONDS: Final = 0.5
+# upstream with a free slot shed a request: others fill what it can't see.  With
+# 0.5 s, half of the flows of the lowest priority were admitted by free slots
+# that did not exist, whoever their caller was.
+DISBELIEF_SECONDS: Final = 2.0
 # A service is in contention for this long after a flow was shed or refused.
 CONTENTION_SECONDS: Final = 5.0
 # What a flow needs of its priority's credit, to which each flow adds the
