Test placement by expected completion, and confirm the choice of all candidates

Each of 14 faults put into completion.py and choice.py fails a test, the order of suspected upstreams in `explain_candidates` after one more line in its test.

--- a/marlbend/steering/placement/choice.py
+++ b/marlbend/steering/placement/choice.py
@@ -6,11 +6,12 @@
 
 With `places_by_work`, the upstream with the earliest expected completion wins
 instead, for requests of unlike cost and upstreams of unlike speed.  All
-candidates are compared, not a random sample: each instance hears of a part of
-the others only, so instances do not all choose the same upstream, and a sample
-leaves out upstreams that are idle.  The load that decided it has 30 instances
-at 0.9 of the capacity of 60 upstreams, where a quarter of the candidates waits
-longer than the best of all.
+candidates are compared, not a random sample.  Instances do not all choose the
+same upstream, since each of them hears of other requests, while a sample often
+leaves out the idle upstreams.  This was decided by a load of 30 instances that
+use 0.9 of 60 upstreams, and hear of each other a quarter of the time: requests
+wait longer with samples of a quarter or half of the candidates.  Only where all
+hear of all others, and late, a sample sheds less.
 """
 
 from collections.abc import Callable, Iterator
@@ -47,8 +48,8 @@
 # send the next request after a think time of about twenty service times.
 IDLE_FLOW_LOAD: Final = 0.05
 _TIE_BREAK_JITTER: Final = 0.01
-# Up to this much is added to each expected completion.  It spreads ties and the
-# flows of instances whose reports are late; with 10 ms the waits get longer.
+# Up to this much is added to each expected completion, to spread ties.  It is
+# below `REMOTE_SECONDS`, so that an idle local upstream precedes a remote one.
 COMPLETION_JITTER_SECONDS: Final = 0.002
 
 
@@ -63,11 +64,11 @@
     Upstreams that are suspected or were tried before are chosen only where no
     other is left.  `endpoint` is that of the route, for the expected cost.
     """
-    usable = exclude_ejected(steering, list(_find_usable(steering, service)))
+    usable = _list_usable(steering, service)
     untried = [each for each in usable if each not in tried]
     if steering.local_instance.places_by_work:
         completion_of = _make_estimate(steering, service, endpoint)
-        return _find_unsuspected(steering, untried, completion_of) or min(
+        return _find_earliest(steering, untried, completion_of) or min(
             usable, key=completion_of, default=None
         )
     unsuspected = [each for each in untried if not is_suspected(steering, each)]
@@ -118,7 +119,7 @@
 
     The slots of suspected upstreams count only where no other is left.
     """
-    usable = exclude_ejected(steering, list(_find_usable(steering, service)))
+    usable = _list_usable(steering, service)
     free = [
         each
         for each in usable
@@ -136,7 +137,7 @@
 
     A choice may differ by `COMPLETION_JITTER_SECONDS`.
     """
-    usable = exclude_ejected(steering, list(_find_usable(steering, service)))
+    usable = _list_usable(steering, service)
     unsuspected = [each for each in usable if not is_suspected(steering, each)]
     cost_seconds = expected_seconds(steering.estimates.service_times, endpoint)
     idle_seconds = find_idle_seconds(steering, service)
@@ -166,15 +167,15 @@
     return estimate
 
 
-def _find_unsuspected(
+def _find_earliest(
     steering: Steering,
     untried: list[Upstream],
     completion_of: Callable[[Upstream], float],
 ) -> Upstream | None:
-    """Return the earliest of the unsuspected upstreams, or else of all.
+    """Return the earliest unsuspected upstream, or else the earliest of all.
 
-    Suspicion is checked in order of completion, up to the first upstream that
-    is not suspected: it takes as much processor time as an estimate.
+    Suspicion is checked in order of completion, and only up to the first
+    upstream that is not suspected, since it reads all reports of an upstream.
     """
     ordered = sorted(untried, key=completion_of)
     unsuspected = (each for each in ordered if not is_suspected(steering, each))
@@ -188,6 +189,10 @@
     return min(candidates, key=lambda each: loads[each.name], default=None)
 
 
+def _list_usable(steering: Steering, service: str) -> list[Upstream]:
+    return exclude_ejected(steering, list(_find_usable(steering, service)))
+
+
 def _find_usable(steering: Steering, service: str) -> Iterator[Upstream]:
     same_service = steering.pool.by_service.get(service, {})
     for upstream in same_service.values():
--- a/marlbend/test/test_completion.py
+++ b/marlbend/test/test_completion.py
@@ -5,7 +5,9 @@
 
 import pytest
 
+from marlbend.steering.failure_detection import count_busy
 from marlbend.steering.placement import choice, completion
+from marlbend.steering.state import Steering
 from marlbend.steering.upstreams import PeerReport, Upstream
 from marlbend.test.test_steering import CASES, Scenario, play_case
 
@@ -73,20 +75,25 @@
 @pytest.fixture
 def inputs(monkeypatch: pytest.MonkeyPatch) -> Inputs:
     made = Inputs()
+    replace_estimates(monkeypatch, lambda _, upstream: made.work[upstream.name])
+    return made
+
+
+def replace_estimates(
+    monkeypatch: pytest.MonkeyPatch,
+    total_work: Callable[[Steering, Upstream], float],
+) -> None:
+    """Replace the estimates, which other tests check."""
 
     def find_slowest(
         speed: object, reports: Iterable[tuple[float, float]], now: float
     ) -> float:
         return max((slowdown for slowdown, _ in reports), default=1)
 
-    replacements: dict[str, Callable[..., float]] = {
-        'total_work': lambda _, upstream: made.work[upstream.name],
-        'find_slowdown': find_slowest,
-    }
-    for name, replacement in replacements.items():
-        monkeypatch.setattr(completion, name, replacement)
-    monkeypatch.setattr(choice, 'expected_seconds', lambda *_: COST)
-    return made
+    monkeypatch.setattr(completion, 'total_work', total_work)
+    monkeypatch.setattr(completion, 'find_slowdown', find_slowest)
+    for module in (choice, completion):
+        monkeypatch.setattr(module, 'expected_seconds', lambda *_: COST)
 
 
 def test_one_long_request_outweighs_two_short_ones(inputs: Inputs) -> None:
@@ -196,8 +203,10 @@
     inputs.add('a1', work=0.4)
     inputs.add('a2', work=0.1)
     inputs.add('a3', 'draining', work=0.2)
+    inputs.add('a4')
     inputs.report_slowdown('a2', 2, age=0)
     steering = inputs.driver.steering
+    steering.pool.by_name['a4'].missing_since = 1
     best = choice.find_best(steering, 'catalog', ENDPOINT)
     assert best is not None
     assert best[0].name == 'a2'
@@ -227,7 +236,13 @@
 
 
 @pytest.mark.parametrize('name', CHOICE_CASES)
-def test_who_may_be_chosen_is_unchanged(name: str) -> None:
+def test_who_may_be_chosen_is_unchanged(
+    monkeypatch: pytest.MonkeyPatch, name: str
+) -> None:
     """Suspicion, ejection, and upstreams tried before count as with counts."""
+    replace_estimates(
+        monkeypatch,
+        lambda steering, upstream: COST * count_busy(upstream, steering.now),
+    )
     case_by_name = {case.name: case for case in CASES}
     play_case(WorkScenario(), case_by_name[name])
