Do not divide by a service time of zero

Cause: a request and the acknowledgement of its response can be read in one batch of packets, which has one time. If that is the first measured request of a service, the median stays zero, and each SYN after eight such requests raised ZeroDivisionError in is_overloaded, so that the reading task failed.

Change: a service time counts as 1 ms at least.

Evidence: test_service_time_of_zero_does_not_stop_decisions failed before with that error. The estimates of placement by work clip to 1 ms already.

--- a/marlbend/steering/placement/load_shedding.py
+++ b/marlbend/steering/placement/load_shedding.py
@@ -28,6 +28,9 @@
 # Each step of priority above the lowest of the service raises the limit by
 # this share.
 PRIORITY_SHARE: Final = 0.5
+# A request and its response may be read in one batch, which has one time; with
+# a median of zero, limits could not be computed.
+MIN_SERVICE_SECONDS: Final = 0.001
 # Estimates from fewer requests are not used.
 MIN_REQUESTS: Final = 8
 
@@ -88,6 +91,7 @@
         service, RequestTimes()
     )
     request_times.requests += 1
+    seconds = max(seconds, MIN_SERVICE_SECONDS)
     if request_times.requests == 1:
         request_times.service_seconds = seconds
         request_times.target_seconds = spec.target_seconds
--- a/marlbend/test/test_load_shedding.py
+++ b/marlbend/test/test_load_shedding.py
@@ -134,3 +134,14 @@
         if arrived_at > simulation.driver.now - 3
     ]
     assert max(latencies_after) < TARGET_SECONDS
+
+
+def test_service_time_of_zero_does_not_stop_decisions() -> None:
+    """A request and its response read in one batch have the same time."""
+    driver = SteeringDriver()
+    driver.route('web', 'catalog')
+    driver.target('web', '0.5')
+    driver.upstream('a1', 'catalog', 'a')
+    driver.service_time('web', '0')
+    driver.open('f1', 'web')
+    assert driver.sent == ['a1']
