Place, hold and refuse flows by work if the setting says so

Cause: the parts of placement by work were not called. Change: with the setting placement "work", a SYN goes through placement/opening.py: the best upstream by expected completion, the verdict of admission control, a wait of up to 150 ms in order of priority and deadline, and an ejected upstream before a refusal for lack of capacity. Responses tell admission control what was shed and what met its target (placement/responses.py). A held SYN is not passed by a later one of its priority.

--- a/marlbend/steering/flows.py
+++ b/marlbend/steering/flows.py
@@ -15,6 +15,7 @@
     record_unanswered,
 )
 from marlbend.steering.packet import Packet
+from marlbend.steering.placement.completion import refresh_slowdowns
 from marlbend.steering.placement.load_shedding import (
     is_unqueued,
     record_service_time,
@@ -30,6 +31,7 @@
     record_idle_flows,
     restart_request,
 )
+from marlbend.steering.placement.responses import record_outcome
 from marlbend.steering.placement.service_times import (
     is_measured,
     typical_seconds,
@@ -39,7 +41,7 @@
 )
 from marlbend.steering.placement.speeds import record_speed
 from marlbend.steering.reopened_flows import expire_reopened
-from marlbend.steering.state import Flow, Steering
+from marlbend.steering.state import Flow, PendingOutcome, Steering
 from marlbend.steering.upstreams import Upstream
 
 __all__ = (
@@ -67,7 +69,9 @@
 def expire_flows(steering: Steering) -> None:
     """Remove idle flows, and stop counting requests that got no response."""
     now = steering.now
-    record_idle_flows(steering)
+    if steering.local_instance.places_by_work:
+        record_idle_flows(steering)
+        refresh_slowdowns(steering)
     expire_reopened(steering.reopened_flows, now)
     for key, flow in tuple(steering.flow_by_key.items()):
         idle = now - flow.last_packet_at
@@ -130,42 +134,55 @@
 def _measure_request(steering: Steering, flow: Flow, packet: Packet) -> None:
     """Add the duration of a request to the estimates if it was not queued."""
     route = steering.routes.by_endpoint.get(packet.endpoint)
-    if (
-        flow.is_unqueued
-        and flow.unanswered_since
-        and not flow.retransmissions
-        and route
-    ):
-        service = flow.upstream.entry.service
+    outcome = flow.pending_outcome
+    if flow.unanswered_since and route:
         seconds = steering.now - flow.unanswered_since
-        record_service_time(steering, route.spec, service, seconds)
-        if steering.local_instance.places_by_work:
-            flow.served_seconds = seconds
-            _record_served(steering, flow, packet)
+        is_measurable = flow.is_unqueued and not flow.retransmissions
+        if is_measurable:
+            service = flow.upstream.entry.service
+            record_service_time(steering, route.spec, service, seconds)
+        if outcome is not None:
+            outcome.response_seconds = seconds
+            outcome.served_seconds = seconds if is_measurable else 0
+            _record_outcome(steering, flow, packet, is_complete=False)
     flow.is_unqueued = False
 
 
-def _record_served(steering: Steering, flow: Flow, packet: Packet) -> None:
+def _record_outcome(
+    steering: Steering, flow: Flow, packet: Packet, *, is_complete: bool
+) -> None:
+    route = steering.routes.by_endpoint.get(packet.endpoint)
+    if flow.pending_outcome is None or route is None:
+        return
+    size = (packet.acknowledged - flow.response_start) % SEQUENCE_MODULUS
+    _record_served(steering, flow, packet.endpoint, size)
+    record_outcome(steering, flow, route.spec, size, is_complete=is_complete)
+    if is_complete:
+        flow.pending_outcome = None
+
+
+def _record_served(
+    steering: Steering, flow: Flow, endpoint: bytes, size: int
+) -> None:
     """Record how long a request took, unless its response looks like an error.
 
     An upstream that sheds requests answers them at once, and would look fast.
     A short part of a response may be the start of a longer one, so its time is
     kept until the response is complete.
     """
-    endpoint = packet.endpoint
-    size = (packet.acknowledged - flow.response_start) % SEQUENCE_MODULUS
-    if not flow.served_seconds or is_short(steering, endpoint, size):
+    outcome = flow.pending_outcome
+    if outcome is None or not outcome.served_seconds:
         return
+    if is_short(steering, endpoint, size):
+        return
+    seconds = outcome.served_seconds
     times = steering.estimates.service_times
     if is_measured(times, endpoint):
-        record_speed(
-            flow.upstream.work.speed,
-            flow.served_seconds,
-            typical_seconds(times, endpoint),
-            steering.now,
-        )
-    record_route_time(times, endpoint, flow.served_seconds, steering.now)
-    flow.served_seconds = 0
+        typical = typical_seconds(times, endpoint)
+        speed = flow.upstream.work.speed
+        record_speed(speed, seconds, typical, steering.now)
+    record_route_time(times, endpoint, seconds, steering.now)
+    outcome.served_seconds = 0
 
 
 def _complete_response(
@@ -174,8 +191,7 @@
     packet: Packet,
 ) -> None:
     """Record the size of the response that ended before this packet."""
-    _record_served(steering, flow, packet)
-    flow.served_seconds = 0
+    _record_outcome(steering, flow, packet, is_complete=True)
     size = (packet.acknowledged - flow.response_start) % SEQUENCE_MODULUS
     flow.response_start = packet.acknowledged
     if not flow.is_before_data and size:
@@ -195,7 +211,7 @@
         flow.unanswered_since = flow.unanswered_since or now
         set_busy(flow, busy=True)
         if starts_request:
-            flow.is_unqueued = is_unqueued(flow.upstream, now)
+            _start_outcome(steering, flow)
         return starts_request
     if (
         flow.unanswered_since
@@ -207,6 +223,12 @@
     return False
 
 
+def _start_outcome(steering: Steering, flow: Flow) -> None:
+    flow.is_unqueued = is_unqueued(flow.upstream, steering.now)
+    if steering.local_instance.places_by_work:
+        flow.pending_outcome = PendingOutcome(had_free_slot=flow.is_unqueued)
+
+
 def _is_later(number: int, other: int) -> bool:
     """Compare two sequence numbers, which wrap at 32 bits."""
     return 0 < (number - other) % SEQUENCE_MODULUS < SEQUENCE_MODULUS // 2
--- a/marlbend/steering/placement/admission.py
+++ b/marlbend/steering/placement/admission.py
@@ -28,6 +28,7 @@
 from marlbend.steering.placement.held_flows import find_deadline
 
 __all__ = (
+    'NO_ROOM',
     'AdmissionRequest',
     'AdmissionState',
     'ServiceAdmission',
--- a/marlbend/steering/placement/completion.py
+++ b/marlbend/steering/placement/completion.py
@@ -7,9 +7,15 @@
 
 from typing import Final, final
 
-from marlbend.steering.placement.outstanding_work import total_work
-from marlbend.steering.placement.service_times import expected_seconds
-from marlbend.steering.placement.speeds import find_slowdown
+from marlbend.steering.placement.outstanding_work import (
+    find_idle_share,
+    find_request_seconds,
+    total_work,
+)
+from marlbend.steering.placement.speeds import (
+    find_slowdown,
+    list_recent_reports,
+)
 from marlbend.steering.state import Steering
 from marlbend.steering.upstreams import Upstream
 
@@ -21,17 +27,18 @@
     'find_completion',
     'find_idle_seconds',
     'make_candidate',
+    'refresh_slowdowns',
 )
 
 # A cold upstream takes about 1.6 times as long for each request.
 COLD_SLOWDOWN: Final = 1.6
-# The way to another failure domain and back.
-REMOTE_SECONDS: Final = 0.0028
-# The share of its time in which an open flow has a request in progress, until
-# `find_idle_share` of `outstanding_work` measures it for each service.
-IDLE_SHARE: Final = 0.05
-# Reported slowdowns are used up to this age.
-SLOWDOWN_MAX_AGE_SECONDS: Final = 3.0
+# What the local domain may take longer, so that a flow stays in it.  The way to
+# another domain and back takes 3 ms alone, but flows inside a domain survive a
+# partition, and with 3 ms half of them leave it for waits that hardly differ.
+REMOTE_SECONDS: Final = 0.03
+# An upstream that seems less slow than this counts as usual.  A few requests in
+# a heavy tail make it look so.
+MIN_SLOWDOWN: Final = 1.3
 
 
 @final
@@ -73,7 +80,7 @@
     candidate = Candidate(upstream.name, upstream.entry.slots)
     candidate.work_seconds = total_work(steering, upstream)
     candidate.idle_load = max(upstream.flows - upstream.busy, 0) * idle_seconds
-    candidate.slowdown = _find_slowdown(upstream, steering.now)
+    candidate.slowdown = upstream.work.slowdown
     candidate.is_cold = upstream.cold_until > steering.now
     candidate.is_remote = _is_remote(steering, upstream)
     return candidate
@@ -104,7 +111,7 @@
     work_seconds = total_work(steering, upstream) + idle * idle_seconds
     backlog = work_seconds / upstream.entry.slots
     return _add_delays(
-        (backlog + cost_seconds) * _find_slowdown(upstream, steering.now),
+        (backlog + cost_seconds) * upstream.work.slowdown,
         is_cold=upstream.cold_until > steering.now,
         is_remote=_is_remote(steering, upstream),
     )
@@ -114,15 +121,22 @@
     """Return the work that one idle flow of a service is worth, in seconds.
 
     It is the share of its time in which a flow has a request in progress, of
-    the mean service time of the routes that lead to the service.
+    the mean service time of the service's requests.
+    """
+    seconds = find_request_seconds(steering, service)
+    return find_idle_share(steering, service) * seconds
+
+
+def refresh_slowdowns(steering: Steering) -> None:
+    """Compute how slow each upstream is, for the choices until the next call.
+
+    It takes ten times as long as the rest of an estimate, so a choice does not.
     """
-    times = steering.estimates.service_times
-    seconds = [
-        expected_seconds(times, endpoint)
-        for endpoint, route in steering.routes.by_endpoint.items()
-        if service in route.services
-    ]
-    return IDLE_SHARE * sum(seconds) / len(seconds) if seconds else 0
+    now = steering.now
+    for upstream in steering.pool.by_name.values():
+        reports = list_recent_reports(upstream.report_by_member.values(), now)
+        slowdown = find_slowdown(upstream.work.speed, reports, now)
+        upstream.work.slowdown = slowdown if slowdown > MIN_SLOWDOWN else 1
 
 
 def _add_delays(seconds: float, *, is_cold: bool, is_remote: bool) -> float:
@@ -131,16 +145,5 @@
     return seconds + REMOTE_SECONDS if is_remote else seconds
 
 
-def _find_slowdown(upstream: Upstream, now: float) -> float:
-    # Reports without a sample would not change the result.
-    reports = [
-        (report.slowdown, report.samples)
-        for report in upstream.report_by_member.values()
-        if report.samples
-        and now - report.received_at <= SLOWDOWN_MAX_AGE_SECONDS
-    ]
-    return find_slowdown(upstream.work.speed, reports, now)
-
-
 def _is_remote(steering: Steering, upstream: Upstream) -> bool:
     return upstream.entry.domain != steering.local_instance.domain
--- a/marlbend/steering/placement/held_flows.py
+++ b/marlbend/steering/placement/held_flows.py
@@ -6,14 +6,15 @@
 """
 
 from collections.abc import Iterator
-from typing import Final, Protocol, final
+from typing import Final, final
+
+from marlbend.steering.packet import Packet
 
 __all__ = (
     'MAX_HELD_FLOWS',
     'MAX_HOLD_SECONDS',
     'HeldFlow',
     'HeldFlows',
-    'Syn',
     'drop_held',
     'find_deadline',
     'find_next',
@@ -30,14 +31,6 @@
 MAX_PAUSED_SECONDS: Final = 0.18
 
 
-class Syn(Protocol):
-    """Describe what identifies a SYN."""
-
-    @property
-    def flow_key(self) -> bytes:
-        """Return the bytes that identify both ends."""
-
-
 @final
 class HeldFlow:
     """Hold a SYN that arrived at `held_at` and waits until `deadline`."""
@@ -45,7 +38,7 @@
     __slots__ = ('deadline', 'held_at', 'priority_steps', 'syn')
 
     def __init__(
-        self, syn: Syn, deadline: float, priority_steps: int, now: float
+        self, syn: Packet, deadline: float, priority_steps: int, now: float
     ) -> None:
         """Start to wait now."""
         self.syn = syn
@@ -78,7 +71,7 @@
 
 def hold(
     held: HeldFlows,
-    packet: Syn,
+    packet: Packet,
     deadline: float,
     now: float,
     priority_steps: int = 0,
--- a/marlbend/steering/state.py
+++ b/marlbend/steering/state.py
@@ -10,6 +10,7 @@
 from marlbend.steering.budgets import make_budgets
 from marlbend.steering.packet import Packet
 from marlbend.steering.placement.admission import AdmissionState
+from marlbend.steering.placement.held_flows import HeldFlows
 from marlbend.steering.placement.service_loads import ServiceLoad
 from marlbend.steering.placement.service_times import ServiceTimes
 from marlbend.steering.reopened_flows import ReopenedFlows
@@ -25,6 +26,7 @@
     'LocalInstance',
     'Outcome',
     'Partition',
+    'PendingOutcome',
     'RequestTimes',
     'ResponseSize',
     'Steering',
@@ -66,6 +68,28 @@
     RESET_UNKNOWN = 12
     REFUSED_CROWD = 13
     DROPPED_RESUMING = 14
+    HELD = 15
+
+
+@final
+class PendingOutcome:
+    """Hold what is known of a request until its response is complete.
+
+    `served_seconds` is how long it took without queueing, until that is
+    recorded for the route, and zero otherwise.  `response_seconds` is the time
+    to the start of the response, `None` before it and once admission control
+    knows of it.
+    `had_free_slot` is set if the upstream seemed to have a free slot when the
+    request started.
+    """
+
+    __slots__ = ('had_free_slot', 'response_seconds', 'served_seconds')
+
+    def __init__(self, *, had_free_slot: bool) -> None:
+        """Initialize without a response."""
+        self.had_free_slot = had_free_slot
+        self.response_seconds: float | None = None
+        self.served_seconds: float = 0
 
 
 @final
@@ -88,8 +112,8 @@
     `request` is the request in progress, `None` also if it began while flows
     were not placed by work.  `response_start` is the sequence number at which
     the response to the latest request starts.  `is_unqueued` is set if the
-    upstream served that request without queueing it.  `served_seconds` is how
-    long it took, until that is recorded for the route, and zero otherwise.
+    upstream served that request without queueing it.  `pending_outcome` is what
+    has to be recorded of the latest request, `None` if nothing is left.
     """
 
     __slots__ = (
@@ -99,12 +123,12 @@
         'is_unqueued',
         'last_packet_at',
         'opened_at',
+        'pending_outcome',
         'pending_syn',
         'request',
         'response_start',
         'retransmissions',
         'sequence',
-        'served_seconds',
         'tried',
         'unanswered_since',
         'upstream',
@@ -126,7 +150,7 @@
         self.busy = False
         self.request: Request | None = None
         self.is_unqueued = False
-        self.served_seconds: float = 0
+        self.pending_outcome: PendingOutcome | None = None
 
 
 def _skip_gossip() -> None:
@@ -244,13 +268,15 @@
     `handshake_times` is how long handshakes take, `response_size_by_endpoint`
     the median response size of each route, `request_times_by_service` how fast
     each service is, and `service_times` how long the requests of each route
-    take.  `admission` holds what admission control follows, and
-    `load_by_service` what the flows of each service bring.
+    take.  `admission` holds what admission control follows, `held_flows` the
+    SYNs that wait for capacity, and `load_by_service` what the flows of each
+    service bring.
     """
 
     __slots__ = (
         'admission',
         'handshake_times',
+        'held_flows',
         'load_by_service',
         'request_times_by_service',
         'response_size_by_endpoint',
@@ -264,6 +290,7 @@
         self.request_times_by_service: dict[str, RequestTimes] = {}
         self.service_times = ServiceTimes()
         self.admission = AdmissionState()
+        self.held_flows = HeldFlows()
         self.load_by_service: dict[str, ServiceLoad] = {}
 
 
--- a/marlbend/steering/steer.py
+++ b/marlbend/steering/steer.py
@@ -31,8 +31,17 @@
     record_unanswered,
 )
 from marlbend.steering.packet import Packet
+from marlbend.steering.placement.admission import VerdictKind
 from marlbend.steering.placement.choice import choose_ejected, choose_upstream
+from marlbend.steering.placement.held_flows import release, take_due
 from marlbend.steering.placement.load_shedding import is_overloaded
+from marlbend.steering.placement.opening import (
+    HOLD_CHECK_SECONDS,
+    NO_UPSTREAM,
+    Placement,
+    place_flow,
+    place_held_flow,
+)
 from marlbend.steering.placement.outstanding_work import (
     NOT_STARTED,
     begin_request,
@@ -93,6 +102,9 @@
     `due` is the time for which this call was scheduled, in steady seconds.
     """
     flow = steering.flow_by_key.get(key)
+    if key in steering.estimates.held_flows.by_key:
+        _check_held_flow(steering, key)
+        return
     if flow is None or flow.pending_syn is None:
         return
     now = steering.now
@@ -130,6 +142,11 @@
         return
     remove_flow(steering, packet.flow_key)
     service = pick_service(route.spec, packet.flow_key)
+    if steering.local_instance.places_by_work:
+        if packet.flow_key not in steering.estimates.held_flows.by_key:
+            placement = place_flow(steering, packet, route.spec, service)
+            _carry_out(steering, packet, placement)
+        return
     upstream = choose_upstream(steering, service, [], packet.endpoint)
     if upstream is None:
         _reset_without_upstream(steering, packet, Outcome.REFUSED_NO_UPSTREAM)
@@ -139,6 +156,49 @@
         _start_flow(steering, packet, upstream)
 
 
+def _carry_out(
+    steering: Steering, packet: Packet, placement: Placement
+) -> None:
+    """Open, hold or refuse a flow that is placed by work."""
+    upstream = placement.upstream
+    verdict = placement.verdict
+    if verdict.kind is VerdictKind.HOLD:
+        steering.counts[Outcome.HELD] += 1
+        _schedule_held_check(steering, packet.flow_key)
+    elif verdict.kind is VerdictKind.ADMIT and upstream is not None:
+        _start_flow(steering, packet, upstream)
+    elif verdict.reason == NO_UPSTREAM:
+        _reset_without_upstream(steering, packet, Outcome.REFUSED_NO_UPSTREAM)
+    else:
+        _reset_without_upstream(steering, packet, Outcome.REFUSED_CROWD)
+
+
+def _schedule_held_check(steering: Steering, key: bytes) -> None:
+    steering.callbacks.schedule_retry(HOLD_CHECK_SECONDS, key)
+
+
+def _check_held_flow(steering: Steering, key: bytes) -> None:
+    """Open a held flow if there is capacity, refuse it after its deadline."""
+    held = steering.estimates.held_flows
+    for due in take_due(held, steering.now):
+        _reset_without_upstream(steering, due.syn, Outcome.REFUSED_CROWD)
+    waiting = held.by_key.get(key)
+    if waiting is None:
+        return
+    packet = waiting.syn
+    route = steering.routes.by_endpoint.get(packet.endpoint)
+    if route is None:
+        release(held, key)
+        _reset_without_upstream(steering, packet, Outcome.REFUSED_NO_ROUTE)
+        return
+    service = pick_service(route.spec, key)
+    placement = place_held_flow(steering, packet, route.spec, service)
+    if placement is None:
+        _schedule_held_check(steering, key)
+    else:
+        _carry_out(steering, packet, placement)
+
+
 def _use_ejected_or_refuse(
     steering: Steering, packet: Packet, route: Route, service: str
 ) -> None:
--- a/marlbend/steering/upstreams.py
+++ b/marlbend/steering/upstreams.py
@@ -152,15 +152,18 @@
     """Hold what this instance sees of the work of an upstream.
 
     `requests` holds its requests in progress, and `speed` how fast the upstream
-    served those that are complete.
+    served those that are complete.  `slowdown` is the multiple of the usual
+    time that its requests take, by what all instances saw; it is refreshed
+    twice a second.
     """
 
-    __slots__ = ('requests', 'speed')
+    __slots__ = ('requests', 'slowdown', 'speed')
 
     def __init__(self) -> None:
         """Initialize without a request."""
         self.requests: set[Request] = set()
         self.speed = Speed()
+        self.slowdown: float = 1
 
 
 @final
--- /dev/null
+++ b/marlbend/test/test_opening.py
@@ -0,0 +1,166 @@
+"""Place, hold and refuse flows by work, through the packets of callers."""
+
+import pytest
+
+from marlbend.steering.placement.held_flows import MAX_HELD_FLOWS
+from marlbend.steering.placement.service_times import (
+    MIN_REQUESTS,
+    record_service_time,
+)
+from marlbend.steering.state import Outcome
+from marlbend.steering.upstreams import PeerReport
+from marlbend.test.steering import SteeringDriver
+
+COST = 0.05
+SLOTS = 2
+
+
+class Overload(SteeringDriver):
+    """Hold one upstream of two slots, and routes of two priorities."""
+
+    def __init__(self, *, places_by_work: bool = True) -> None:
+        super().__init__()
+        self.steering.local_instance.places_by_work = places_by_work
+        for name, priority in (('web', '2'), ('order', '1')):
+            self.route(name, 'catalog')
+            self.target(name, '0.5', priority)
+            endpoint = self.routes[name].endpoint
+            for _ in range(MIN_REQUESTS):
+                times = self.steering.estimates.service_times
+                record_service_time(times, endpoint, COST, self.now)
+        self.upstream('a1', 'catalog', 'a', f'slots={SLOTS}')
+
+    def load(self, requests: int) -> None:
+        """Let another instance report requests in progress at the upstream."""
+        report = PeerReport(self.now, requests)
+        report.work_seconds = requests * COST
+        upstream = self.steering.pool.by_name['a1']
+        upstream.report_by_member['n-2'] = report
+
+    def count(self, outcome: Outcome) -> int:
+        """Return how often an outcome was counted."""
+        return self.steering.counts[outcome]
+
+
+def test_flow_that_would_miss_its_target_is_refused_at_once() -> None:
+    """It would wait in vain, and take capacity from flows that can be served.
+
+    The expected completion is 0.05 s and 0.025 s for each request before it;
+    0.8 of the target is 0.4 s, and 1.2 of it for the higher priority 0.6 s.
+    """
+    driver = Overload()
+    driver.load(20)
+    driver.open('f1', 'web')
+    driver.open('f2', 'order')
+    assert driver.sent == ['reset', 'a1']
+    driver.load(40)
+    driver.open('f3', 'order')
+    assert driver.sent[-1] == 'reset'
+    assert driver.count(Outcome.REFUSED_CROWD) == 2
+    assert not driver.count(Outcome.HELD)
+
+
+def test_flow_waits_for_capacity_that_comes_soon() -> None:
+    """A refusal would cost its caller one of two retries."""
+    driver = Overload()
+    driver.load(17)
+    driver.open('f2', 'web')
+    driver.retransmit_syn('f2')
+    assert not driver.sent
+    assert driver.count(Outcome.HELD) == 1
+    driver.load(2)
+    driver.wait('0.02')
+    assert driver.sent == ['a1']
+    assert not driver.steering.estimates.held_flows.by_key
+
+
+def test_held_flow_is_refused_when_it_has_waited_too_long() -> None:
+    driver = Overload()
+    driver.load(17)
+    driver.open('f1', 'web')
+    for _ in range(16):
+        driver.load(17)
+        driver.wait('0.01')
+    assert driver.sent == ['reset']
+    assert driver.count(Outcome.REFUSED_CROWD) == 1
+    driver.wait('0.5')
+    assert driver.sent == ['reset']
+
+
+def test_higher_priority_gets_the_first_capacity() -> None:
+    driver = Overload()
+    driver.load(17)
+    driver.open('f1', 'web')
+    driver.load(25)
+    driver.open('f2', 'order')
+    held = driver.steering.estimates.held_flows
+    assert len(held.by_key) == 2
+    driver.load(2)
+    driver.wait('0.01')
+    driver.wait('0.01')
+    order = [driver.callers[name].key for name in ('f2', 'f1')]
+    assert list(driver.steering.flow_by_key) == order
+
+
+def test_held_flows_of_a_paused_process_are_dropped() -> None:
+    """Callers have sent their SYN again, perhaps to another instance."""
+    driver = Overload()
+    driver.load(17)
+    driver.open('f1', 'web')
+    driver.pause('2')
+    assert not driver.sent
+    assert not driver.steering.estimates.held_flows.by_key
+
+
+def test_held_flow_of_a_removed_route_is_refused() -> None:
+    driver = Overload()
+    driver.load(17)
+    driver.open('f1', 'web')
+    driver.drop_route('web')
+    driver.wait('0.02')
+    assert driver.sent == ['reset']
+    assert driver.count(Outcome.REFUSED_NO_ROUTE) == 1
+
+
+def test_many_held_flows_are_bounded() -> None:
+    driver = Overload()
+    driver.load(17)
+    for number in range(MAX_HELD_FLOWS + 3):
+        driver.open(f'f{number}', 'web')
+    assert len(driver.steering.estimates.held_flows.by_key) == MAX_HELD_FLOWS
+    assert set(driver.sent) == {'reset'}
+    assert len(driver.sent) == 3
+
+
+@pytest.mark.parametrize('priority', ['1', '2'])
+def test_shed_responses_limit_flows_though_a_slot_seems_free(
+    priority: str,
+) -> None:
+    """Without heartbeats, each instance would go on as if it were alone."""
+    driver = Overload()
+    for number in range(30):
+        flow = f's{number}'
+        driver.open(flow, 'web')
+        driver.establish(flow)
+        size = '2000' if number < 10 else '100'
+        driver.complete_request(flow, size)
+        driver.fin(flow)
+        driver.wait('0.02')
+    driver.sent.clear()
+    route = 'order' if priority == '1' else 'web'
+    for number in range(40):
+        driver.open(f'n{number}', route)
+    refused = driver.sent.count('reset')
+    assert (refused > 20) == (priority == '2')
+    assert refused in {0, *range(21, 41)}
+
+
+def test_setting_off_refuses_by_counts_as_before() -> None:
+    driver = Overload(places_by_work=False)
+    driver.load(1000)
+    driver.open('f1', 'web')
+    assert driver.sent == ['a1']
+    driver.service_time('web', str(COST))
+    driver.open('f2', 'web')
+    assert driver.sent[-1] == 'reset'
+    assert not driver.steering.estimates.admission.counts
