Explain where a flow would go, and show placement in metrics and logs

Cause: no figure showed why an upstream was chosen or a flow refused by work. Change: marlbend explain ADDRESS:PORT asks an instance's control endpoint for the candidates in order with each term, the verdict and its reason; nothing is sent or recorded. With placement by work there are metrics of verdicts by route and reason, service times, limits, outstanding work, slowdowns and held SYNs; E600, E601 and E611 have work_ms and slowdown, and the reason of E610 is that of admission control.

--- a/marlbend/cli/main.py
+++ b/marlbend/cli/main.py
@@ -14,7 +14,7 @@
 import fire
 
 from marlbend import VERSION, error_messages
-from marlbend.cli import fleet, reports
+from marlbend.cli import explaining, fleet, reports
 from marlbend.config import collect_services
 from marlbend.config.publish import drain_upstream, publish_configuration
 from marlbend.errorcodes import ErrorKind
@@ -115,6 +115,29 @@
         report = asyncio.run(fleet.collect_domains(endpoint))
         reports.print_report(report, json)
 
+    def explain(
+        self,
+        endpoint: str,
+        caller: str = '',
+        control: str = '',
+        json: bool = False,
+    ) -> None:
+        """Show where a new flow would go now, and why; send nothing.
+
+        Args:
+            endpoint: address and port of the route, ADDRESS:PORT.
+            caller: address of the caller (default any).
+            control: control endpoint of the instance to ask, ADDRESS:PORT; by
+                default $MARLBEND_CONTROL.
+            json: print one JSON object.
+
+        """
+        chosen = _find_control_endpoint(control)
+        report = asyncio.run(
+            explaining.fetch_explanation(chosen, str(endpoint), str(caller))
+        )
+        reports.print_report(report, json)
+
     def trace(self, request: str, *logs: str, json: bool = False) -> None:
         """Show each decision on a request, from the logs of the instances.
 
--- a/marlbend/edge/decision_log.py
+++ b/marlbend/edge/decision_log.py
@@ -10,6 +10,7 @@
 from marlbend.platform.header import find_request_id
 from marlbend.steering.failure_detection import count_busy
 from marlbend.steering.packet import Packet
+from marlbend.steering.placement.outstanding_work import total_work
 from marlbend.steering.state import Outcome, Steering
 from marlbend.steering.upstreams import Upstream
 
@@ -46,7 +47,7 @@
     ) -> None:
         steering = steering_of()
         flow = format_flow(packet.flow_key)
-        reason = _REASON_BY_OUTCOME.get(outcome, '')
+        reason = _find_reason(steering, outcome)
         if upstream is None:
             version = steering.routes.version
             emit(Event.FLOW_REFUSED, flow=flow, reason=reason, version=version)
@@ -61,6 +62,18 @@
     return log_decision
 
 
+def _find_reason(steering: Steering, outcome: Outcome) -> str:
+    """Return the reason of an outcome, that of admission control if it decided.
+
+    It is empty for a flow that is opened or a request that is forwarded.
+    """
+    latest = steering.estimates.admission.latest
+    is_by_work = steering.local_instance.places_by_work
+    if outcome is Outcome.REFUSED_CROWD and is_by_work and latest:
+        return latest.reason
+    return _REASON_BY_OUTCOME.get(outcome, '')
+
+
 def format_flow(flow_key: bytes) -> str:
     """Format a flow key as `ADDRESS:PORT>ADDRESS:PORT`, the caller first."""
     caller_port, destination_port = _PORTS.unpack_from(flow_key, _PORTS_OFFSET)
@@ -99,10 +112,11 @@
 ) -> dict[str, object]:
     """Return the state that decisions on an upstream depend on.
 
-    `upstreams_age_ms` is the time since the list of upstreams was confirmed.
+    `upstreams_age_ms` is the time since the list of upstreams was confirmed,
+    `work_ms` the outstanding work of the upstream, both in milliseconds.
     """
     age = steering.now - steering.upstreams_confirmed_at
-    return {
+    fields: dict[str, object] = {
         'upstream': upstream.name,
         'service': upstream.entry.service,
         'domain': upstream.entry.domain,
@@ -111,3 +125,8 @@
         'version': steering.routes.version,
         'upstreams_age_ms': int(age * _MILLISECONDS_PER_SECOND),
     }
+    if steering.local_instance.places_by_work:
+        work_seconds = total_work(steering, upstream)
+        fields['work_ms'] = int(work_seconds * _MILLISECONDS_PER_SECOND)
+        fields['slowdown'] = round(upstream.work.slowdown, 2)
+    return fields
--- a/marlbend/edge/serving.py
+++ b/marlbend/edge/serving.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from marlbend.edge.explaining import make_explain_handler
 from marlbend.edge.node import GossipNode
 from marlbend.edge.reload import RunningInstance
 from marlbend.edge.status import describe_instance, render_metrics
@@ -57,6 +58,7 @@
         split_endpoint(cookie_settings.control): {
             **make_topic_handlers(node),
             **make_unlisted_handlers(node),
+            **make_explain_handler(node),
             STATUS_PATH: serve_status,
         },
     }
--- a/marlbend/edge/status.py
+++ b/marlbend/edge/status.py
@@ -6,6 +6,7 @@
 from marlbend import VERSION
 from marlbend.clock import steady_seconds
 from marlbend.edge.node import GossipNode
+from marlbend.edge.placement_metrics import placement_lines
 from marlbend.http import ServerResponse
 from marlbend.observe.control_traffic import Cause
 from marlbend.observe.latency import LatencyHistogram
@@ -83,7 +84,13 @@
     node: GossipNode, handshake_latencies: LatencyHistogram
 ) -> ServerResponse:
     """Return an HTTP response with the metrics in Prometheus text format."""
-    lines = '\n'.join(_metric_lines(node, handshake_latencies))
+    # Placement needs the time that the status has set.
+    lines = '\n'.join(
+        (
+            *_metric_lines(node, handshake_latencies),
+            *placement_lines(node.steering),
+        )
+    )
     return _OK, 'text/plain; version=0.0.4', f'{lines}\n'.encode()
 
 
--- a/marlbend/http/server.py
+++ b/marlbend/http/server.py
@@ -18,7 +18,12 @@
 _CHUNK_BYTES: Final = 16_384
 _IDLE_TIMEOUT_SECONDS: Final = 30.0
 _REASON_PHRASES: Final = MappingProxyType(
-    {200: 'OK', 404: 'Not Found', 503: 'Service Unavailable'}
+    {
+        200: 'OK',
+        400: 'Bad Request',
+        404: 'Not Found',
+        503: 'Service Unavailable',
+    }
 )
 _NOT_FOUND: Final = 404
 _RESPONSE_HEAD: Final = (
--- a/marlbend/steering/placement/admission.py
+++ b/marlbend/steering/placement/admission.py
@@ -209,15 +209,17 @@
     """Hold the state of each service, and counts of verdicts.
 
     The keys of the counts are the endpoint of the route, the kind of verdict
-    and its reason.
+    and its reason.  `latest` is the verdict that was recorded last, for the log
+    line that follows it.
     """
 
-    __slots__ = ('by_service', 'counts')
+    __slots__ = ('by_service', 'counts', 'latest')
 
     def __init__(self) -> None:
         """Initialize without a service."""
         self.by_service: dict[str, ServiceAdmission] = {}
         self.counts: dict[tuple[bytes, str, str], int] = {}
+        self.latest: Verdict | None = None
 
 
 def decide(
@@ -279,6 +281,7 @@
     now: float,
 ) -> None:
     """Count a verdict, and remember what later decisions depend on."""
+    state.latest = verdict
     _count(state, request, verdict)
     if verdict.kind is VerdictKind.HOLD or not request.target_seconds:
         return
--- a/marlbend/test/test_opening.py
+++ b/marlbend/test/test_opening.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from marlbend.edge.placement_metrics import placement_lines
 from marlbend.steering.placement.held_flows import MAX_HELD_FLOWS
 from marlbend.steering.placement.service_times import (
     MIN_REQUESTS,
@@ -164,3 +165,17 @@
     driver.open('f2', 'web')
     assert driver.sent[-1] == 'reset'
     assert not driver.steering.estimates.admission.counts
+
+
+def test_metrics_and_log_tell_why_a_flow_was_refused() -> None:
+    driver = Overload()
+    driver.load(40)
+    driver.open('f1', 'web')
+    lines = list(placement_lines(driver.steering))
+    labels = '{route="web",verdict="refuse",reason="no room in time"}'
+    assert f'marlbend_placement_total{labels} 1' in lines
+    assert 'marlbend_upstream_work_seconds{upstream="a1"} 2.000' in lines
+    latest = driver.steering.estimates.admission.latest
+    assert latest is not None
+    assert latest.reason == 'no room in time'
+    assert not list(placement_lines(SteeringDriver().steering))
--- a/marlbend/wire/__init__.py
+++ b/marlbend/wire/__init__.py
@@ -2,7 +2,8 @@
 
 from typing import Final
 
-__all__ = ('STATUS_PATH',)
+__all__ = ('EXPLAIN_PATH', 'STATUS_PATH')
 
 # Served on the control endpoint of each instance.
 STATUS_PATH: Final = '/status'
+EXPLAIN_PATH: Final = '/explain'
--- a/marlbend/wire/status.py
+++ b/marlbend/wire/status.py
@@ -3,8 +3,10 @@
 import msgspec
 
 __all__ = (
+    'CandidateStatus',
     'ControlStatus',
     'CookieStatus',
+    'FlowExplanation',
     'MemberStatus',
     'TopicStatus',
     'UpstreamStatus',
@@ -47,6 +49,47 @@
     silences: int
 
 
+class CandidateStatus(msgspec.Struct, frozen=True):
+    """Report what placement knows of one upstream, in milliseconds.
+
+    `expected_ms` is when a request would be complete: the outstanding work
+    `work_ms`, and `idle_ms` for what idle flows may bring, over the slots, and
+    the request's own cost, times the slowdown; more for a remote one.
+    """
+
+    name: str
+    domain: str
+    expected_ms: float
+    work_ms: float
+    idle_ms: float
+    slots: int
+    busy: int
+    slowdown: float
+    is_cold: bool
+    is_remote: bool
+
+
+class FlowExplanation(msgspec.Struct, frozen=True):
+    """Report where a new flow would go now, and why.
+
+    `candidates` starts with the best one.  `limit` is the share of the flows of
+    this priority that is admitted, and `allowed_ms` how long a request may be
+    expected to take.  The verdict is that of placement by work, also while the
+    `method` in use is another.
+    """
+
+    route: str
+    service: str
+    method: str
+    verdict: str
+    reason: str
+    cost_ms: float
+    target_ms: float
+    candidates: tuple[CandidateStatus, ...]
+    limit: float = 1
+    allowed_ms: float = 0
+
+
 class ControlStatus(msgspec.Struct, frozen=True):
     """Count what was sent to other instances for one cause.
 
