Judge a route of which nothing is admitted by its service's mean target

Cause: admission control has a rule against the starvation of routes with short targets, but was told that each route is served.

--- a/marlbend/steering/placement/__init__.py
+++ b/marlbend/steering/placement/__init__.py
@@ -1,7 +1,11 @@
 """Decide which upstream gets a new flow, and which flows are refused.
 
 `choice` chooses the upstream among those that `slow_start` and
-`outlier_detection` leave, and `load_shedding` refuses flows under overload.
+`outlier_detection` leave.  By counts of requests, `load_shedding` refuses flows
+under overload.  By work, `opening` carries a SYN through `choice`, `admission`
+and `held_flows`; `service_times`, `speeds`, `outstanding_work`, `service_loads`
+and `responses` learn what they decide on, `completion` combines it, and
+`callers` shares what is left.  See `docs/design/placement.md`.
 
 Nothing is imported here: `marlbend.steering.state` uses modules of this package
 that the others depend on.
--- a/marlbend/steering/placement/admission.py
+++ b/marlbend/steering/placement/admission.py
@@ -26,6 +26,10 @@
     was_refused,
 )
 from marlbend.steering.placement.held_flows import find_deadline
+from marlbend.steering.placement.route_activity import (
+    RouteActivity,
+    record_admitted_route,
+)
 
 __all__ = (
     'NO_ROOM',
@@ -135,8 +139,8 @@
 
     `has_free_slot` is set if an upstream that may get the flow has a free slot,
     `is_measured` if the service times of the route are known, and
-    `is_route_served` if a flow of the route was admitted or served within the
-    last second.
+    `is_route_served` if a flow of the route was admitted within the last
+    second.
     """
 
     __slots__ = (
@@ -210,16 +214,17 @@
 
     The keys of the counts are the endpoint of the route, the kind of verdict
     and its reason.  `latest` is the verdict that was recorded last, for the log
-    line that follows it.
+    line that follows it.  `route_activity` holds which routes are served.
     """
 
-    __slots__ = ('by_service', 'counts', 'latest')
+    __slots__ = ('by_service', 'counts', 'latest', 'route_activity')
 
     def __init__(self) -> None:
         """Initialize without a service."""
         self.by_service: dict[str, ServiceAdmission] = {}
         self.counts: dict[tuple[bytes, str, str], int] = {}
         self.latest: Verdict | None = None
+        self.route_activity = RouteActivity()
 
 
 def decide(
@@ -283,6 +288,8 @@
     """Count a verdict, and remember what later decisions depend on."""
     state.latest = verdict
     _count(state, request, verdict)
+    if verdict.kind is VerdictKind.ADMIT:
+        record_admitted_route(state.route_activity, request.endpoint, now)
     if verdict.kind is VerdictKind.HOLD or not request.target_seconds:
         return
     known = _find_service(state, request.service)
--- a/marlbend/steering/placement/opening.py
+++ b/marlbend/steering/placement/opening.py
@@ -35,6 +35,7 @@
     hold,
     release,
 )
+from marlbend.steering.placement.route_activity import was_route_admitted
 from marlbend.steering.placement.service_times import (
     expected_seconds,
     is_measured,
@@ -170,6 +171,11 @@
     request.cost_seconds = expected_seconds(times, spec.endpoint)
     request.is_measured = is_measured(times, spec.endpoint)
     request.has_free_slot = has_free_slot(steering, service)
+    request.is_route_served = was_route_admitted(
+        steering.estimates.admission.route_activity,
+        spec.endpoint,
+        steering.now,
+    )
     # A second of the backlog is done in a second, so what exceeds the allowed
     # wait now fits after as long.
     request.room_seconds = max(
