Let the soak place flows by work beside counts, with slow upstreams

Cause: the soak knew neither placement by work nor slow upstreams. Change: --by-work lets every second process place by work, so both methods run side by side and a reload switches between them, and adds a series of slow upstreams; the schedules of earlier seeds stay as they are.

--- a/bench/endpoints/upstreams.py
+++ b/bench/endpoints/upstreams.py
@@ -81,7 +81,8 @@
     """Hold a simulated upstream and its flows.
 
     `born` counts its starts.  `cold_until` is the monotonic time in seconds at
-    which its warm-up ends, and zero if it was never cold.
+    which its warm-up ends, and zero if it was never cold.  A request takes
+    `service_seconds`.
     """
 
     callbacks: FlowCallbacks
@@ -92,6 +93,7 @@
     born: int = 1
     state: UpstreamState = UpstreamState.READY
     cold_until: float = 0
+    service_seconds: float = SERVICE_SECONDS
     flow_by_key: dict[FlowKey, UpstreamFlow] = {}
 
     @property
@@ -233,7 +235,7 @@
             flow.expected_sequence, len(packet.payload)
         )
         asyncio.get_running_loop().call_later(
-            SERVICE_SECONDS, _run_request, upstream, flow, packet
+            upstream.service_seconds, _run_request, upstream, flow, packet
         )
     else:
         _send_unacknowledged(upstream, flow)
--- a/marlbend/test/test_soak.py
+++ b/marlbend/test/test_soak.py
@@ -74,6 +74,7 @@
     [
         ('with_returns', 'store_returns'),
         ('with_lost_handshakes', 'handshakes_lost'),
+        ('with_slow_upstreams', 'slow_upstream'),
     ],
 )
 def test_options_leave_the_other_steps_as_they_are(
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -20,6 +20,7 @@
 __all__ = ('run',)
 
 DEFAULT_SECONDS: Final = 45.0
+FLAG: Final = 'store_true'
 SCHEDULE_NAME: Final = 'schedule.json'
 
 
@@ -52,16 +53,21 @@
     )
     parser.add_argument(
         '--returns',
-        action='store_true',
+        action=FLAG,
         help='let the store come back from a copy as well',
     )
     parser.add_argument(
         '--lost-handshakes',
-        action='store_true',
+        action=FLAG,
         help='lose SYN+ACKs before instances restart as well',
     )
+    parser.add_argument(
+        '--by-work',
+        action=FLAG,
+        help='place flows by work at every second instance; slow upstreams',
+    )
     parser.add_argument('--replay', metavar='FILE', help='a saved schedule')
-    parser.add_argument('--json', action='store_true')
+    parser.add_argument('--json', action=FLAG)
     return parser.parse_args()
 
 
@@ -75,8 +81,13 @@
         arguments.instances,
         with_returns=arguments.returns,
         with_lost_handshakes=arguments.lost_handshakes,
+        with_slow_upstreams=arguments.by_work,
+    )
+    return msgspec.structs.replace(
+        schedule,
+        idle_routes=arguments.idle_routes,
+        places_by_work=arguments.by_work,
     )
-    return msgspec.structs.replace(schedule, idle_routes=arguments.idle_routes)
 
 
 def _print_report(report: Report, *, as_json: bool) -> None:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -60,6 +60,7 @@
         'restart_upstream': upstreams.restart_upstream,
         'restart_unseen': upstreams.restart_unseen,
         'pause_upstream': upstreams.pause_upstream,
+        'slow_upstream': upstreams.slow_upstream,
         'drain_upstream': upstreams.drain_upstream,
         'add_upstream': upstreams.add_upstream,
         'reuse_address': upstreams.reuse_address,
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -91,7 +91,9 @@
 class Fleet(msgspec.Struct):
     """Hold the instances by name and by the address that they send from.
 
-    `prefix` is the first two bytes of every loopback address.
+    `prefix` is the first two bytes of every loopback address.  With
+    `places_by_work`, every second process places flows by work; a reload
+    changes that.
     """
 
     prefix: str
@@ -101,6 +103,7 @@
     by_name: dict[str, Instance] = {}
     by_address: dict[str, Instance] = {}
     stopping: bool = False
+    places_by_work: bool = False
     tasks: set[asyncio.Task[None]] = set()
 
 
@@ -172,6 +175,10 @@
     name = instance.node.name
     path = fleet.folder / f'{name}.json'
     settings = {**instance.settings, 'log_level': log_level}
+    turn = int(name.rpartition('-')[2]) + instance.process_number
+    cookie = instance.settings['cookie']
+    if fleet.places_by_work and turn % 2 and isinstance(cookie, dict):
+        settings['cookie'] = {**cookie, 'placement': 'work'}
     path.write_text(json.dumps(settings))
 
 
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -64,6 +64,7 @@
         # stay as they are.
         'store_returns': (0.5, 5, 0),
         'handshakes_lost': (1, 4, 0),
+        'slow_upstream': (2, 6, 0),
         'pause_upstream': (0.5, 4, 2),
         'drain_upstream': (5, 7, 3),
         'add_upstream': (4, 8, 3),
@@ -90,6 +91,7 @@
     """Describe a run; `seconds` is its length.
 
     Every release has `idle_routes` routes without traffic beside the others.
+    With `places_by_work`, every second instance places flows by work.
     """
 
     seed: int
@@ -97,6 +99,7 @@
     instances: int
     steps: tuple[Step, ...]
     idle_routes: int = 0
+    places_by_work: bool = False
 
 
 def draw_schedule(
@@ -106,11 +109,13 @@
     *,
     with_returns: bool = False,
     with_lost_handshakes: bool = False,
+    with_slow_upstreams: bool = False,
 ) -> Schedule:
     """Return the schedule of a seed, by default with drawn instances.
 
-    `with_returns` adds a series in which the store comes back from a copy, and
-    `with_lost_handshakes` one of lost SYN+ACKs that a planned restart follows.
+    `with_returns` adds a series in which the store comes back from a copy,
+    `with_lost_handshakes` one of lost SYN+ACKs that a planned restart follows,
+    and `with_slow_upstreams` one of slow upstreams.
     """
     random = Random(seed)
     drawn_instances = random.randint(MIN_INSTANCES, MAX_INSTANCES)
@@ -121,6 +126,8 @@
         steps.extend(_draw_steps('store_returns', random, end))
     if with_lost_handshakes:
         steps.extend(_draw_steps('handshakes_lost', random, end))
+    if with_slow_upstreams:
+        steps.extend(_draw_steps('slow_upstream', random, end))
     steps.sort(key=_start_time)
     return Schedule(seed, seconds, instances or drawn_instances, tuple(steps))
 
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -32,6 +32,7 @@
     'restart_unseen',
     'restart_upstream',
     'reuse_address',
+    'slow_upstream',
 )
 
 # The platform removes a registration after three intervals without renewal.
@@ -39,6 +40,7 @@
 WARMUP_SECONDS: Final = 6.0
 ADDRESS_REUSE_DELAY_SECONDS: Final = 2.0
 STORE_POLL_SECONDS: Final = 0.05
+MAX_SLOWDOWN: Final = 20.0
 
 
 async def crash_upstream(run: Run, step: Step, random: Random) -> None:
@@ -97,6 +99,18 @@
             upstream.state = UpstreamState.READY
 
 
+async def slow_upstream(run: Run, step: Step, random: Random) -> None:
+    """Let an upstream take many times as long for each request for a while."""
+    upstream = pick_spare_upstream(run, random)
+    if upstream is not None:
+        usual_seconds = upstream.service_seconds
+        upstream.service_seconds = usual_seconds * random.uniform(
+            2, MAX_SLOWDOWN
+        )
+        await asyncio.sleep(step.seconds)
+        upstream.service_seconds = usual_seconds
+
+
 async def drain_upstream(run: Run, step: Step, random: Random) -> None:
     """Drain and remove an upstream, then start a new one."""
     upstream = pick_spare_upstream(run, random)
--- a/soak/wiring.py
+++ b/soak/wiring.py
@@ -75,6 +75,7 @@
         for number in range(count):
             await start_upstream(run, service, DOMAINS[number % len(DOMAINS)])
     run.idle_routes = schedule.idle_routes
+    run.fleet.places_by_work = schedule.places_by_work
     await publish_next_release(run)
     prefix = run.fleet.prefix
     for number, domain in enumerate(DOMAINS, 1):
