Count only own unanswered packets for a possible cold start

Cause: limits an upstream that several packets found silent, and added up the packets that other instances reported. At 11.76 s, with one domain out and two upstreams restarting, the other two had one or two unanswered packets at each of some instances, so all of them were limited.

Change: only this instance's own packets of the last two seconds count.

Evidence: the log of n-4 has one unanswered packet of its own for the two upstreams.

--- a/marlbend/steering/failure_detection.py
+++ b/marlbend/steering/failure_detection.py
@@ -135,9 +135,14 @@
 
 
 def is_silent(upstream: Upstream, now: float) -> bool:
-    """Return whether several packets went unanswered, here or elsewhere."""
-    summary = UnansweredSummary(upstream, now)
-    return summary.unanswered >= DEAD_UNANSWERED
+    """Return whether several recent packets of this instance went unanswered.
+
+    Reports do not count: one lost datagram at each of some instances would make
+    a whole service look silent.
+    """
+    age = now - upstream.liveness.last_unanswered_at
+    is_recent = age < EVIDENCE_MAX_AGE_SECONDS
+    return is_recent and upstream.liveness.unanswered >= DEAD_UNANSWERED
 
 
 def is_presumed_dead(steering: Steering, upstream: Upstream) -> bool:
