Forward a SYN that the network repeats to the upstream of its flow

Cause: a copy of a SYN that the network repeats has the attempt number zero, like a new flow, so the instance dropped the flow's record and placed the copy anew: at another upstream, or, with none left, it reset the open flow.

Change: within the time of a handshake, a SYN whose sequence number is just before what the flow has sent is a copy, and goes to the flow's upstream.

--- a/marlbend/steering/flows.py
+++ b/marlbend/steering/flows.py
@@ -40,13 +40,17 @@
     record_service_time as record_route_time,
 )
 from marlbend.steering.placement.speeds import record_speed
-from marlbend.steering.reopened_flows import expire_reopened
+from marlbend.steering.reopened_flows import (
+    HANDSHAKE_SECONDS,
+    expire_reopened,
+)
 from marlbend.steering.state import Flow, PendingOutcome, Steering
 from marlbend.steering.upstreams import Upstream
 
 __all__ = (
     'add_flow',
     'expire_flows',
+    'is_repeated_syn',
     'move_flow',
     'observe_packet',
     'remove_flow',
@@ -61,6 +65,8 @@
 BUSY_TIMEOUT_SECONDS: Final = 2.0
 # Callers retransmit data after 200 ms.
 RETRANSMISSION_SECONDS: Final = 0.15
+# More than a caller sends in the time of a handshake.
+MAX_HANDSHAKE_BYTES: Final = 1_000_000
 # Sequence numbers are 32 bits wide.
 SEQUENCE_BITS: Final = 32
 SEQUENCE_MODULUS: Final = 1 << SEQUENCE_BITS
@@ -229,6 +235,17 @@
         flow.pending_outcome = PendingOutcome(had_free_slot=flow.is_unqueued)
 
 
+def is_repeated_syn(flow: Flow, packet: Packet, now: float) -> bool:
+    """Return whether the network repeated the SYN of a flow.
+
+    It arrives within the time of a handshake.  A caller that reuses a port
+    begins with another sequence number.
+    """
+    sent_bytes = (flow.sequence - packet.sequence) % SEQUENCE_MODULUS
+    is_recent = now - flow.opened_at < HANDSHAKE_SECONDS
+    return is_recent and sent_bytes < MAX_HANDSHAKE_BYTES
+
+
 def _is_later(number: int, other: int) -> bool:
     """Compare two sequence numbers, which wrap at 32 bits."""
     return 0 < (number - other) % SEQUENCE_MODULUS < SEQUENCE_MODULUS // 2
--- a/marlbend/steering/reopened_flows.py
+++ b/marlbend/steering/reopened_flows.py
@@ -19,6 +19,7 @@
 from marlbend.wire.heartbeats import ReopenedFlowUpdate
 
 __all__ = (
+    'HANDSHAKE_SECONDS',
     'MAX_REOPENED_FLOWS',
     'REOPENED_FLOW_SECONDS',
     'REPEAT_SECONDS',
--- a/marlbend/steering/steer.py
+++ b/marlbend/steering/steer.py
@@ -20,6 +20,7 @@
 )
 from marlbend.steering.flows import (
     add_flow,
+    is_repeated_syn,
     move_flow,
     observe_packet,
     remove_flow,
@@ -137,7 +138,9 @@
         steering.counts[Outcome.DROPPED_RESUMING] += 1
         return
     flow = steering.flow_by_key.get(packet.flow_key)
-    if flow is not None and packet.attempt:
+    if flow is not None and (
+        packet.attempt or is_repeated_syn(flow, packet, steering.now)
+    ):
         _handle_retransmitted_syn(steering, flow, packet)
         return
     remove_flow(steering, packet.flow_key)
@@ -224,6 +227,7 @@
     record_probe(steering, upstream)
     flow = add_flow(steering, packet.flow_key, upstream)
     flow.pending_syn = packet
+    flow.sequence = packet.sequence
     set_busy(flow, busy=True)
     begin_request(steering, flow, packet.endpoint, NOT_STARTED)
     remove_reopened(steering.reopened_flows, packet.flow_key)
@@ -238,7 +242,10 @@
     flow: Flow,
     packet: Packet,
 ) -> None:
-    """Forward the caller's retransmission of a SYN, or try another upstream."""
+    """Forward a repeated SYN, or try another upstream.
+
+    The caller sends it again, or the network repeats it.
+    """
     now = steering.now
     if flow.pending_syn is None:
         steering.callbacks.forward(packet, flow.upstream)
