Limit a priority only for requests of its own or a higher one

Change: a shed request raises the pressure up to where the next priority would begin to be limited.

Evidence: test_shed_requests_of_streams_do_not_limit_a_higher_priority failed before.

--- a/marlbend/steering/placement/admission.py
+++ b/marlbend/steering/placement/admission.py
@@ -311,18 +311,24 @@
     now: float,
     *,
     had_free_slot: bool = False,
+    priority_steps: int | None = None,
 ) -> None:
     """Lower the admitted share after a response that looks shed.
 
+    A request limits the flows of its own priority and of lower ones, those of
+    all if its `priority_steps` are not given: requests on open flows cannot be
+    refused, and would otherwise limit higher priorities for as long as they are
+    shed.
+
     `had_free_slot` is set if this instance knew of a free slot at the upstream,
     which shows that it does not know the whole load.
     """
     known = _find_service(state, service)
     _start_contention(known, now)
-    highest = PRESSURE_SLACK + known.steps * PRESSURE_PER_STEP
-    known.pressure = min(
-        _find_pressure(known, now) + SHED_STEP, highest - math.log(MIN_LIMIT)
-    )
+    steps = known.steps if priority_steps is None else priority_steps
+    highest = PRESSURE_SLACK + steps * PRESSURE_PER_STEP - math.log(MIN_LIMIT)
+    pressure = _find_pressure(known, now)
+    known.pressure = max(min(pressure + SHED_STEP, highest), pressure)
     known.updated_at = now
     known.shed_at = now
     if had_free_slot and known.pressure > PRESSURE_SLACK:
--- a/marlbend/steering/placement/responses.py
+++ b/marlbend/steering/placement/responses.py
@@ -35,8 +35,13 @@
     service = flow.upstream.entry.service
     now = steering.now
     if looks_shed:
+        lowest = steering.routes.lowest_priority_by_service.get(service, 0)
         record_shed(
-            admission, service, now, had_free_slot=outcome.had_free_slot
+            admission,
+            service,
+            now,
+            had_free_slot=outcome.had_free_slot,
+            priority_steps=max(lowest - spec.priority, 0),
         )
     else:
         in_time = outcome.response_seconds <= spec.target_seconds
--- a/marlbend/test/test_opening.py
+++ b/marlbend/test/test_opening.py
@@ -179,3 +179,19 @@
     assert latest is not None
     assert latest.reason == 'no room in time'
     assert not list(placement_lines(SteeringDriver().steering))
+
+
+def test_shed_requests_of_streams_do_not_limit_a_higher_priority() -> None:
+    """Open flows go on to be shed, however few new flows are admitted."""
+    driver = Overload()
+    driver.open('o1', 'order')
+    driver.open('s1', 'web')
+    driver.establish('s1')
+    for number in range(200):
+        size = '2000' if number < 10 else '100'
+        driver.complete_request('s1', size)
+        driver.wait('0.02')
+    driver.sent.clear()
+    for number in range(20):
+        driver.open(f'n{number}', 'order')
+    assert set(driver.sent) == {'a1'}
