Recognize shed responses when most requests are shed

Cause: a response is short against the median size of its route, and the median follows the responses: after 60 refusals in a row it is the size of a refusal, and nothing looks shed any more. Change: with placement by work, short responses move it by 0.002 instead of 0.05; without the setting nothing changes.

Evidence: test_shed_responses_are_recognized_though_most_are_shed failed before.

--- a/marlbend/steering/medians.py
+++ b/marlbend/steering/medians.py
@@ -2,14 +2,14 @@
 
 from typing import Final
 
-__all__ = ('update_median',)
+__all__ = ('STEP', 'update_median')
 
 # The share of the estimate by which each sample moves it.
 STEP: Final = 0.05
 
 
-def update_median(median: float, sample: float) -> float:
+def update_median(median: float, sample: float, step: float = STEP) -> float:
     """Return an estimate of the median, moved towards a new sample."""
     if sample > median:
-        return median * (1 + STEP)
-    return median * (1 - STEP)
+        return median * (1 + step)
+    return median * (1 - step)
--- a/marlbend/steering/placement/outlier_detection.py
+++ b/marlbend/steering/placement/outlier_detection.py
@@ -15,7 +15,7 @@
 from collections.abc import Iterable, Sequence
 from typing import Final
 
-from marlbend.steering.medians import update_median
+from marlbend.steering.medians import STEP, update_median
 from marlbend.steering.state import ResponseSize, Steering
 from marlbend.steering.upstreams import Upstream
 
@@ -31,6 +31,10 @@
 # A response below this share of the route's median size is short.  The response
 # sizes of one route vary by a factor of about two.
 SHORT_SHARE: Final = 0.4
+# With placement by work, short responses move the median of a route by this
+# share.  In an overload in which most requests are shed, the median would else
+# become the size of a refusal, and nothing would look shed any more.
+SHORT_STEP: Final = 0.002
 # The median of a route is not used before this many responses.
 MIN_RESPONSES: Final = 8
 # Counts decay exponentially: they halve in this time.
@@ -71,7 +75,8 @@
         endpoint, ResponseSize()
     )
     looks_failed = is_short(steering, endpoint, size)
-    _update_median(estimate, size)
+    is_slow = looks_failed and steering.local_instance.places_by_work
+    _update_median(estimate, size, SHORT_STEP if is_slow else STEP)
     decay_counts(upstream, steering.now)
     upstream.outlier_state.responses += 1
     upstream.outlier_state.short_responses += looks_failed
@@ -158,12 +163,12 @@
     return kept
 
 
-def _update_median(estimate: ResponseSize, size: int) -> None:
+def _update_median(estimate: ResponseSize, size: int, step: float) -> None:
     estimate.responses += 1
     if estimate.responses == 1:
         estimate.median = size
     else:
-        estimate.median = update_median(estimate.median, size)
+        estimate.median = update_median(estimate.median, size, step)
 
 
 def _short_share_of_others(
--- a/marlbend/test/test_opening.py
+++ b/marlbend/test/test_opening.py
@@ -188,10 +188,24 @@
     driver.open('s1', 'web')
     driver.establish('s1')
     for number in range(200):
-        size = '2000' if number < 10 else '100'
+        size = '2000' if number < 10 or number % 2 else '100'
         driver.complete_request('s1', size)
         driver.wait('0.02')
     driver.sent.clear()
     for number in range(20):
         driver.open(f'n{number}', 'order')
     assert set(driver.sent) == {'a1'}
+
+
+def test_shed_responses_are_recognized_though_most_are_shed() -> None:
+    """The usual size of a route became that of a refusal after 60 of them."""
+    driver = Overload()
+    driver.open('s1', 'web')
+    driver.establish('s1')
+    for number in range(200):
+        driver.complete_request('s1', '2000' if number < 10 else '100')
+        driver.wait('0.02')
+    driver.sent.clear()
+    for number in range(20):
+        driver.open(f'n{number}', 'web')
+    assert driver.sent.count('reset') > 10
