--- a/marlbend/edge/reopened_updates.py
+++ b/marlbend/edge/reopened_updates.py
@@ -33,7 +33,7 @@
     'send_reopened',
 )
 
-# How many flows a heartbeat tells, in 0.7 kB, and one in full, in 3.3 kB.
+# How many flows a heartbeat reports, in 0.7 kB, and one in full, in 3.3 kB.
 MAX_UPDATES: Final = 20
 MAX_UPDATES_IN_FULL: Final = 100
 # In a larger domain, the other members learn from heartbeats.
@@ -43,7 +43,7 @@
 def send_reopened(node: GossipNode) -> None:
     """Tell the local domain about new flows before the next heartbeat.
 
-    Beyond the budget only some members are told; the next heartbeats repeat it.
+    Beyond the budget only some members get it; the next heartbeats repeat it.
     """
     now = steady_seconds()
     flows = node.steering.reopened_flows
@@ -65,7 +65,7 @@
 def merge_reopened_updates(
     node: GossipNode, updates: Iterable[ReopenedFlowUpdate], now: float
 ) -> None:
-    """Merge what another instance told, and tell what it asks for.
+    """Merge the reports of another instance, and answer its open ones.
 
     The sender may not see the packets of a flow that moved to this instance
     right after its first SYN, and then does not know the upstream.
--- a/marlbend/steering/placement/service_times.py
+++ b/marlbend/steering/placement/service_times.py
@@ -65,7 +65,7 @@
 # Decay leaves the counts the weight of this many requests, so that the first
 # request after a pause does not replace the estimate.
 KEPT_REQUESTS: Final = 16
-# A heartbeat tells the times of this many routes, in 2.3 kB.
+# A heartbeat reports the times of this many routes, in 2.3 kB.
 MAX_ROUTES_REPORTED: Final = 64
 # Counts up to this number have one byte on the wire.
 MAX_COUNT_REPORTED: Final = 127
--- a/marlbend/steering/placement/speeds.py
+++ b/marlbend/steering/placement/speeds.py
@@ -51,7 +51,7 @@
 
 
 class SpeedReport(Protocol):
-    """Describe the fields of `PeerReport` that tell a speed."""
+    """Describe the fields of `PeerReport` that report a speed."""
 
     received_at: float
     slowdown: float
@@ -74,7 +74,7 @@
 
     `pending` holds the age and the expected seconds of each.  A request that
     is older than expected counts as a sample of its age, which it takes at
-    least; others tell nothing yet.  Requests that may wait in a queue are to be
+    least; others show nothing yet.  Requests that may wait in a queue are to be
     left out.  The speed itself does not change, and is returned if there is
     nothing to add.
     """
--- a/marlbend/steering/reopened_flows.py
+++ b/marlbend/steering/reopened_flows.py
@@ -5,9 +5,9 @@
 upstream that does not hold its flow.  Only the first packet after the handshake
 is sure to have the right cookie, and it reaches one instance.
 
-So that instance tells the others, at once and with its next heartbeats, and an
+So that instance reports it, at once and with its next heartbeats, and an
 instance that starts asks for all such flows.  An instance that sends a SYN to a
-second upstream tells this as well, since the next packet may reach another one.
+second upstream reports this as well, since the next packet may reach another.
 
 Designed for lost SYN+ACKs, about one in a hundred, followed by a change of the
 instance that gets the flow's packets.
@@ -65,7 +65,7 @@
 
 @final
 class ReopenedFlows:
-    """Hold the flows by key, and the keys of those to tell others at once."""
+    """Hold the flows by key, and the keys of those to report at once."""
 
     __slots__ = ('by_key', 'unsent_keys')
 
@@ -92,7 +92,7 @@
 def confirm_cookie(
     flows: ReopenedFlows, key: bytes, cookie: int, now: float
 ) -> bool:
-    """Record the upstream of a flow; return whether others must be told.
+    """Record the upstream of a flow; return whether to report it.
 
     It must be known from a packet that follows the handshake at once.
     """
@@ -117,7 +117,7 @@
 def list_unsent(
     flows: ReopenedFlows, limit: int, now: float
 ) -> Iterator[ReopenedFlowUpdate]:
-    """Yield the flows to tell others at once, and count them as told."""
+    """Yield the flows to report at once, and count them as reported."""
     keys = tuple(flows.unsent_keys)[-limit:]
     flows.unsent_keys.clear()
     for key in keys:
@@ -148,9 +148,9 @@
     updates: Iterable[ReopenedFlowUpdate],
     now: float,
 ) -> Iterator[bytes]:
-    """Merge what another instance told; yield keys whose cookie is unknown.
+    """Merge the reports of an instance; yield keys whose cookie is unknown.
 
-    The first cookie that is told stays.
+    The first cookie that is reported stays.
     """
     for update in updates:
         age = update.age / _MILLISECONDS_PER_SECOND
@@ -170,7 +170,7 @@
     known = flows.by_key.get(update.key)
     if known is None:
         known = add_reopened(flows, update.key, opened_at, now)
-        # Whoever sent this tells the others at once.
+        # The sender has reported it to the others as well.
         flows.unsent_keys.pop(update.key, None)
     if update.cookie and not known.cookie:
         known.cookie = update.cookie
--- a/marlbend/steering/state.py
+++ b/marlbend/steering/state.py
@@ -364,7 +364,7 @@
     `upstreams_confirmed_at` is when the platform last confirmed the upstreams,
     `platform_recovered_at` when it first did so after an outage.
     `reopened_flows` holds the flows whose SYN went to several upstreams, as far
-    as any instance told.
+    as any instance reported.
     """
 
     __slots__ = (
--- a/marlbend/test/test_reopened_flows.py
+++ b/marlbend/test/test_reopened_flows.py
@@ -143,7 +143,7 @@
 
 
 def test_lost_datagram_does_not_move_a_flow() -> None:
-    """What was told once is in the next heartbeats as well."""
+    """What was reported once is in the next heartbeats as well."""
     with two_peers() as (peers, first, second):
         second.is_deaf = True
         holder = peers.open_at_second(first)
@@ -152,8 +152,8 @@
         assert peers.send_data(first, second) == holder
 
 
-def test_heartbeats_pass_on_what_another_instance_told() -> None:
-    """Its sender may be killed before it has told everybody."""
+def test_heartbeats_pass_on_what_another_instance_reported() -> None:
+    """Its sender may be killed before it has reached everybody."""
     with two_peers() as (peers, first, second):
         third = peers.add('n-3', 'b')
         holder = peers.open_at_second(first)
@@ -162,7 +162,7 @@
         assert peers.send_data(first, third) == holder
 
 
-def test_leaving_instance_tells_all_flows_again() -> None:
+def test_leaving_instance_reports_all_flows_again() -> None:
     """An instance that missed every heartbeat would move the flow."""
     with two_peers() as (peers, first, second):
         second.is_deaf = True
