Look up reopened flows once for each packet

Cause: each packet of an open flow made two calls and two lookups for flows whose SYN went to several upstreams, although hardly any flow is one of those.

Change: one lookup; the rest runs only for such a flow.

--- a/marlbend/steering/steer.py
+++ b/marlbend/steering/steer.py
@@ -49,6 +49,7 @@
 )
 from marlbend.steering.placement.slow_start import record_new_flow
 from marlbend.steering.reopened_flows import (
+    ReopenedFlow,
     add_reopened,
     confirm_cookie,
     remove_reopened,
@@ -293,7 +294,10 @@
 
 def _continue_flow(steering: Steering, packet: Packet, route: Route) -> None:
     flow = steering.flow_by_key.get(packet.flow_key)
-    cookie = _find_cookie(steering, packet, flow)
+    cookie = packet.cookie
+    reopened = steering.reopened_flows.by_key.get(packet.flow_key)
+    if reopened is not None:
+        cookie = _find_cookie(reopened, packet, flow)
     upstream = steering.pool.by_cookie.get(cookie)
     if upstream is None:
         _handle_unknown_cookie(steering, packet, cookie)
@@ -306,7 +310,7 @@
         return
     if flow is None:
         flow = add_flow(steering, packet.flow_key, upstream)
-    if confirm_cookie(
+    if reopened is not None and confirm_cookie(
         steering.reopened_flows, packet.flow_key, cookie, steering.now
     ):
         steering.callbacks.gossip_reopened()
@@ -325,15 +329,14 @@
         remove_flow(steering, packet.flow_key)
 
 
-def _find_cookie(steering: Steering, packet: Packet, flow: Flow | None) -> int:
-    """Return the cookie of the upstream that holds the flow of a packet.
+def _find_cookie(
+    reopened: ReopenedFlow, packet: Packet, flow: Flow | None
+) -> int:
+    """Return the cookie of the upstream that holds a flow opened several times.
 
-    If the SYN went to several upstreams, more than one may have answered it,
-    and the cookie in the packet may be that of another one.
+    More than one upstream may have answered its SYN, and the cookie in the
+    packet may be that of another one.
     """
-    reopened = steering.reopened_flows.by_key.get(packet.flow_key)
-    if reopened is None:
-        return packet.cookie
     if flow is not None and flow.pending_syn is None:
         return reopened.cookie or flow.upstream.cookie
     return reopened.cookie or packet.cookie
