Reduce the memory of an upstream

Cause: each upstream had an empty set of requests and a report of its own for a domain that reported nothing, also with placement by counts.

Change: requests are the keys of a dictionary, whose empty form takes 64 instead of 216 bytes, and all upstreams without a report share one. The test that compares the requests of an upstream compares the same keys as a set.

--- a/marlbend/steering/placement/outstanding_work.py
+++ b/marlbend/steering/placement/outstanding_work.py
@@ -130,7 +130,7 @@
         request = Request(endpoint, started_at)
         request.follows_idle = not flow.is_before_data
         flow.request = request
-        requests.add(request)
+        requests[request] = None
         record_request_cost(
             _service_load(steering, flow.upstream),
             expected_seconds(steering.estimates.service_times, endpoint),
@@ -149,7 +149,7 @@
     request = flow.request
     if request is not None:
         flow.request = None
-        flow.upstream.work.requests.discard(request)
+        flow.upstream.work.requests.pop(request, None)
         _record_duration(steering, flow.upstream, request)
 
 
@@ -157,9 +157,9 @@
     """Track the request of a flow at the upstream that it moves to."""
     if flow.request is None:
         return
-    flow.upstream.work.requests.discard(flow.request)
+    flow.upstream.work.requests.pop(flow.request, None)
     if len(upstream.work.requests) < MAX_REQUESTS:
-        upstream.work.requests.add(flow.request)
+        upstream.work.requests[flow.request] = None
     else:
         flow.request = None
 
--- a/marlbend/steering/upstreams.py
+++ b/marlbend/steering/upstreams.py
@@ -72,6 +72,11 @@
         self.samples: float = 0
 
 
+# What a remote domain reported of an upstream before any report; it is shared
+# by all upstreams, and never changed.
+NO_REPORT: Final = PeerReport(0, 0)
+
+
 @final
 class Liveness:
     """Hold this instance's own evidence of whether an upstream is alive.
@@ -161,7 +166,8 @@
 
     def __init__(self) -> None:
         """Initialize without a request."""
-        self.requests: set[Request] = set()
+        # An empty dictionary takes a third of the memory of an empty set.
+        self.requests: dict[Request, None] = {}
         self.speed = Speed()
         self.slowdown: float = 1
 
@@ -215,7 +221,7 @@
         self.busy = 0
         self.flows = 0
         self.report_by_member: dict[str, PeerReport] = {}
-        self.domain_report = PeerReport(0, 0)
+        self.domain_report = NO_REPORT
 
 
 @final
--- a/marlbend/test/test_outstanding_work.py
+++ b/marlbend/test/test_outstanding_work.py
@@ -223,7 +223,7 @@
             flow for flow in tracked if flow.upstream is known and flow.busy
         ]
         requests = {flow.request for flow in busy} - {None}
-        assert known.work.requests == requests
+        assert set(known.work.requests) == requests
         assert known.busy == len(busy)
         assert not are_all_tracked or len(requests) == known.busy
 
