--- a/marlbend/edge/maintenance.py
+++ b/marlbend/edge/maintenance.py
@@ -18,7 +18,7 @@
 from marlbend.steering import Steering
 from marlbend.steering.flows import expire_flows
 from marlbend.steering.gossip import list_live_members
-from marlbend.steering.upstreams import ENDED_SECONDS, expire_upstreams
+from marlbend.steering.upstream_expiry import ENDED_SECONDS, expire_upstreams
 from marlbend.steering.upstreams_restored import keep_domain_cold
 from marlbend.topics.contents import register_kept_entries
 from marlbend.topics.knowledge import Topic
--- a/marlbend/steering/upstreams.py
+++ b/marlbend/steering/upstreams.py
@@ -6,7 +6,7 @@
 """
 
 import zlib
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from typing import Final, final
 
 from marlbend.steering.documents import UpstreamEntry
@@ -28,11 +28,6 @@
 # After the store came back from a copy, upstreams and operators write again
 # what it lacks, and registrations of dead upstreams expire, within this time.
 REWRITE_SECONDS: Final = 10.0
-# The cookie of an ended upstream is kept for this long; no flow is older than a
-# minute.
-ENDED_SECONDS: Final = 65.0
-# Reports of other instances older than this are not used in any decision.
-REPORT_EXPIRY_SECONDS: Final = 10.0
 
 
 @final
@@ -287,7 +282,7 @@
     pool.held_by_name.pop(entry.name, None)
     known = pool.by_name.get(entry.name)
     if known is None or known.entry.born != entry.born:
-        _remove(pool, known)
+        remove_upstream(pool, known)
         _add(pool, Upstream(entry, now))
         return True
     has_returned = known.ended_at > 0
@@ -329,38 +324,14 @@
     return True
 
 
-def expire_upstreams(
-    pool: UpstreamPool,
-    now: float,
-    confirmed: tuple[float, float],
-) -> Iterator[Upstream]:
-    """End upstreams that stay missing, and remove those that ended long ago.
-
-    `confirmed` is the interval in which the platform is known to have answered.
-    A registration that expired in an outage returns after the outage, so only
-    time within this interval counts.
-    """
-    for known in tuple(pool.by_name.values()):
-        _expire_reports(known, now)
-        if known.ended_at:
-            if now - known.ended_at > ENDED_SECONDS:
-                _remove(pool, known)
-        elif _has_stayed_missing(pool, known, confirmed):
-            end_upstream(pool, known.name, now)
-            yield known
-
-
-def _has_stayed_missing(
-    pool: UpstreamPool, known: Upstream, confirmed: tuple[float, float]
-) -> bool:
-    held = pool.held_by_name.get(known.name)
-    is_in_store = held is not None and held.entry.born == known.entry.born
-    if not known.missing_since or is_in_store:
-        return False
-    since, until = confirmed
-    missing_seconds = until - max(known.missing_since, since)
-    limit = REWRITE_SECONDS if known.name in pool.lost else MISSING_SECONDS
-    return missing_seconds > limit
+def remove_upstream(pool: UpstreamPool, known: Upstream | None) -> None:
+    """Remove an upstream and its cookie, if it is known."""
+    if known is None:
+        return
+    pool.by_name.pop(known.name, None)
+    if pool.by_cookie.get(known.cookie) is known:
+        pool.by_cookie.pop(known.cookie)
+    pool.by_service[known.entry.service].pop(known.name, None)
 
 
 def registered_names_except(
@@ -387,20 +358,5 @@
     same_service[upstream.name] = upstream
 
 
-def _expire_reports(known: Upstream, now: float) -> None:
-    for member, report in tuple(known.report_by_member.items()):
-        if now - report.received_at > REPORT_EXPIRY_SECONDS:
-            known.report_by_member.pop(member)
-
-
 def _name_of(upstream: Upstream) -> str:
     return upstream.name
-
-
-def _remove(pool: UpstreamPool, known: Upstream | None) -> None:
-    if known is None:
-        return
-    pool.by_name.pop(known.name, None)
-    if pool.by_cookie.get(known.cookie) is known:
-        pool.by_cookie.pop(known.cookie)
-    pool.by_service[known.entry.service].pop(known.name, None)
--- a/marlbend/test/steering.py
+++ b/marlbend/test/steering.py
@@ -23,10 +23,10 @@
 )
 from marlbend.steering.state import OUT_INDEFINITELY
 from marlbend.steering.steer import make_receiver, retry_unanswered_syn
+from marlbend.steering.upstream_expiry import expire_upstreams
 from marlbend.steering.upstreams import (
     PeerReport,
     end_upstream,
-    expire_upstreams,
     mark_missing,
     register_upstream,
 )
--- a/marlbend/test/test_upstreams_restored.py
+++ b/marlbend/test/test_upstreams_restored.py
@@ -4,11 +4,11 @@
 from marlbend.edge.maintenance import restore_domains
 from marlbend.steering import Upstream
 from marlbend.steering.state import OUT_INDEFINITELY
+from marlbend.steering.upstream_expiry import expire_upstreams
 from marlbend.steering.upstreams import (
     MISSING_SECONDS,
     REWRITE_SECONDS,
     UpstreamPool,
-    expire_upstreams,
     mark_missing,
     register_upstream,
 )
