Keep the sums of what other instances report of an upstream

Cause: each choice reads, for each upstream of the service, the reports of all instances of the last 10 s, twice for suspicion and load.

Change: steering/reports.py keeps the sums until a report is added or one of them becomes too old; the sums are the same at any time. OBSERVATION_MAX_AGE and PeerReport move there.

--- a/bench/placing.py
+++ b/bench/placing.py
@@ -31,7 +31,8 @@
     UpstreamEntry,
     update_routes,
 )
-from marlbend.steering.upstreams import PeerReport, register_upstream
+from marlbend.steering.reports import PeerReport, add_report, remove_report
+from marlbend.steering.upstreams import register_upstream
 from marlbend.wire.heartbeats import (
     Heartbeat,
     MemberUpdate,
@@ -383,8 +384,9 @@
 ) -> None:
     sender = reporter.local_instance.name
     for name, upstream in reporter.pool.by_name.items():
-        reports = other.pool.by_name[name].report_by_member
+        reports = other.pool.by_name[name].reports
         if upstream.busy:
-            reports[sender] = PeerReport(simulation.now, upstream.busy)
+            report = PeerReport(simulation.now, upstream.busy)
+            add_report(reports, sender, report)
         else:
-            reports.pop(sender, None)
+            remove_report(reports, sender)
--- a/bench/strategies.py
+++ b/bench/strategies.py
@@ -17,7 +17,7 @@
 )
 from marlbend.steering import Upstream
 from marlbend.steering.placement.choice import choose_upstream
-from marlbend.steering.upstreams import PeerReport
+from marlbend.steering.reports import PeerReport, add_report
 
 __all__ = ('PlacingReport', 'run_placing')
 
@@ -91,14 +91,14 @@
     if upstream is not None:
         # The flows placed since the last heartbeat are stored like the report
         # of another peer.
-        reports = upstream.report_by_member
-        report = reports.get('placed')
+        report = upstream.reports.by_member.get('placed')
         is_fresh = (
             report is not None
             and simulation.now - report.received_at < HEARTBEAT_SECONDS
         )
         placed = report.busy if report is not None and is_fresh else 0
-        reports['placed'] = PeerReport(simulation.now, placed + 1)
+        report = PeerReport(simulation.now, placed + 1)
+        add_report(upstream.reports, 'placed', report)
     return upstream
 
 
--- a/marlbend/edge/upstream_updates.py
+++ b/marlbend/edge/upstream_updates.py
@@ -21,8 +21,9 @@
     total_work,
 )
 from marlbend.steering.placement.speeds import describe_speed
+from marlbend.steering.reports import PeerReport, add_report
 from marlbend.steering.state import Steering
-from marlbend.steering.upstreams import PeerReport, Upstream
+from marlbend.steering.upstreams import Upstream
 from marlbend.wire.heartbeats import Heartbeat, MemberUpdate, UpstreamUpdate
 
 __all__ = (
@@ -266,7 +267,7 @@
         )
     report.responses = update.responses
     report.short_responses = update.short_responses
-    upstream.report_by_member[member] = report
+    add_report(upstream.reports, member, report)
     if update.unanswered:
         detect_partition(steering, upstream.entry.domain)
     if update.ejected_for:
--- a/marlbend/steering/failure_detection.py
+++ b/marlbend/steering/failure_detection.py
@@ -13,12 +13,13 @@
 from collections.abc import Iterator
 from typing import Final, final
 
-from marlbend.steering.state import Partition, Steering
-from marlbend.steering.upstreams import (
-    MISSING_SECONDS,
+from marlbend.steering.reports import (
+    OBSERVATION_MAX_AGE_SECONDS,
     PeerReport,
-    Upstream,
+    summarize,
 )
+from marlbend.steering.state import Partition, Steering
+from marlbend.steering.upstreams import MISSING_SECONDS, Upstream
 
 __all__ = (
     'count_busy',
@@ -46,9 +47,6 @@
 # second.
 PARTITION_UPSTREAMS: Final = 2
 PARTITION_SECONDS: Final = 0.6
-# Reports of load and of unanswered packets are used up to this age.  Heartbeats
-# are sent four times a second; one may be lost.
-OBSERVATION_MAX_AGE_SECONDS: Final = 1.0
 # A single datagram lost by another instance does not make an upstream suspect.
 REPORTED_UNANSWERED: Final = 2
 # After this many false suspicions within this time, an instance resets no flow.
@@ -203,12 +201,7 @@
 
 def count_busy(upstream: Upstream, now: float) -> int:
     """Return the number of requests in progress known to this instance."""
-    reported = (
-        report.busy
-        for report in upstream.report_by_member.values()
-        if now - report.received_at < OBSERVATION_MAX_AGE_SECONDS
-    )
-    total = upstream.busy + sum(reported)
+    total = upstream.busy + summarize(upstream.reports, now).busy
     domain_report = upstream.domain_report
     if now - domain_report.received_at < OBSERVATION_MAX_AGE_SECONDS:
         return max(total, domain_report.busy)
@@ -249,11 +242,6 @@
 
 def _credible_reports(upstream: Upstream, now: float) -> Iterator[PeerReport]:
     """Yield recent reports of unanswered packets without a later response."""
-    for report in upstream.report_by_member.values():
-        is_recent = now - report.received_at < OBSERVATION_MAX_AGE_SECONDS
-        if (
-            is_recent
-            and report.unanswered
-            and report.unanswered_since > upstream.liveness.last_alive_at
-        ):
+    for report in summarize(upstream.reports, now).unanswered:
+        if report.unanswered_since > upstream.liveness.last_alive_at:
             yield report
--- a/marlbend/steering/placement/completion.py
+++ b/marlbend/steering/placement/completion.py
@@ -134,7 +134,7 @@
     """
     now = steering.now
     for upstream in steering.pool.by_name.values():
-        reports = list_recent_reports(upstream.report_by_member.values(), now)
+        reports = list_recent_reports(upstream.reports.by_member.values(), now)
         slowdown = find_slowdown(upstream.work.speed, reports, now)
         upstream.work.slowdown = slowdown if slowdown > MIN_SLOWDOWN else 1
 
--- a/marlbend/steering/placement/outlier_detection.py
+++ b/marlbend/steering/placement/outlier_detection.py
@@ -191,7 +191,7 @@
     )
     responses = upstream.outlier_state.responses * factor
     short_responses = upstream.outlier_state.short_responses * factor
-    for report in upstream.report_by_member.values():
+    for report in upstream.reports.by_member.values():
         if now - report.received_at < RESPONSE_COUNTS_MAX_AGE_SECONDS:
             responses += report.responses
             short_responses += report.short_responses
--- a/marlbend/steering/placement/outstanding_work.py
+++ b/marlbend/steering/placement/outstanding_work.py
@@ -11,7 +11,6 @@
 from collections import Counter
 from typing import Final
 
-from marlbend.steering.failure_detection import OBSERVATION_MAX_AGE_SECONDS
 from marlbend.steering.placement.service_loads import (
     DEFAULT_IDLE_SHARE,
     ServiceLoad,
@@ -25,8 +24,9 @@
     expected_seconds,
     remaining_seconds,
 )
+from marlbend.steering.reports import OBSERVATION_MAX_AGE_SECONDS, sum_work
 from marlbend.steering.state import Flow, Steering
-from marlbend.steering.upstreams import PeerReport, Request, Upstream
+from marlbend.steering.upstreams import Request, Upstream
 
 __all__ = (
     'MAX_REQUESTS',
@@ -69,38 +69,24 @@
 def total_work(steering: Steering, upstream: Upstream) -> float:
     """Return the remaining seconds of all known requests in progress.
 
-    It runs for each candidate of each new flow, so it uses plain loops.  An
-    older report weighs less, as its requests may be complete.  What
-    was heard is not scaled up to the instances that were not heard from: that
-    adds noise to the order of the candidates, and leaves the best at zero.
+    An older report weighs less, as its requests may be complete.  What was
+    heard is not scaled up to the instances that were not heard from: that adds
+    noise to the order of the candidates, and leaves the best at zero.
     """
-    oldest = steering.now - OBSERVATION_MAX_AGE_SECONDS
+    now = steering.now
+    service = upstream.entry.service
+    request_seconds = find_request_seconds(steering, service)
     work = own_work(steering, upstream)
-    for report in upstream.report_by_member.values():
-        # From 1 for a new report to 0 for one that is as old as is used.
-        weight = (report.received_at - oldest) / OBSERVATION_MAX_AGE_SECONDS
-        if weight > 0:
-            reported = report.work_seconds
-            if reported is None:
-                reported = _convert_count(steering, upstream, report)
-            work += weight * reported
+    work += sum_work(upstream.reports, now, request_seconds)
     domain_report = upstream.domain_report
-    if domain_report.received_at > oldest:
+    if now - domain_report.received_at < OBSERVATION_MAX_AGE_SECONDS:
         domain_work = domain_report.work_seconds
         if domain_work is None:
-            domain_work = _convert_count(steering, upstream, domain_report)
+            domain_work = domain_report.busy * request_seconds
         return max(work, domain_work)
     return work
 
 
-def _convert_count(
-    steering: Steering, upstream: Upstream, report: PeerReport
-) -> float:
-    """Return the work in a report of a former release."""
-    service = upstream.entry.service
-    return report.busy * find_request_seconds(steering, service)
-
-
 def find_request_seconds(steering: Steering, service: str) -> float:
     """Return the expected time of the routes, weighted by their requests."""
     load = steering.estimates.load_by_service.get(service)
--- a/marlbend/steering/upstream_expiry.py
+++ b/marlbend/steering/upstream_expiry.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from typing import Final
 
+from marlbend.steering.reports import expire_reports
 from marlbend.steering.upstreams import (
     MISSING_SECONDS,
     REWRITE_SECONDS,
@@ -20,8 +21,6 @@
 # The cookie of an ended upstream is kept for this long; no flow is older than a
 # minute.
 ENDED_SECONDS: Final = 65.0
-# Reports of other instances older than this are not used in any decision.
-REPORT_EXPIRY_SECONDS: Final = 10.0
 
 
 def expire_upstreams(
@@ -38,7 +37,7 @@
     """
     latest = confirmed[1] if _are_most_missing(pool) else now
     for known in tuple(pool.by_name.values()):
-        _expire_reports(known, now)
+        expire_reports(known.reports, now)
         if known.ended_at:
             if now - known.ended_at > ENDED_SECONDS:
                 remove_upstream(pool, known)
@@ -81,9 +80,3 @@
     """Return whether a registration may be missing because of an outage."""
     is_soon_after = known.missing_since - recovered_at < REWRITE_SECONDS
     return is_soon_after or known.name in pool.lost
-
-
-def _expire_reports(known: Upstream, now: float) -> None:
-    for member, report in tuple(known.report_by_member.items()):
-        if now - report.received_at > REPORT_EXPIRY_SECONDS:
-            known.report_by_member.pop(member)
--- a/marlbend/steering/upstreams.py
+++ b/marlbend/steering/upstreams.py
@@ -11,6 +11,7 @@
 
 from marlbend.steering.documents import UpstreamEntry
 from marlbend.steering.placement.speeds import Speed
+from marlbend.steering.reports import NO_REPORT, PeerReports
 
 __all__ = (
     'HeldEntry',
@@ -30,48 +31,6 @@
 REWRITE_SECONDS: Final = 10.0
 
 
-@final
-class PeerReport:
-    """Hold another instance's latest report on an upstream.
-
-    `received_at` and `unanswered_since` are by the clock of this instance.
-    `busy` counts requests in progress, and `unanswered` the packets without a
-    response since `unanswered_since`.  `responses` and `short_responses` are
-    recent counts.  `work_seconds` is the outstanding work, `None` in reports of
-    a former release.  `slowdown` is the multiple of the expected time that
-    requests take, from a number of `samples`.
-    """
-
-    __slots__ = (
-        'busy',
-        'received_at',
-        'responses',
-        'samples',
-        'short_responses',
-        'slowdown',
-        'unanswered',
-        'unanswered_since',
-        'work_seconds',
-    )
-
-    def __init__(self, received_at: float, busy: int) -> None:
-        """Initialize as most reports are: without unanswered packets."""
-        self.received_at = received_at
-        self.busy = busy
-        self.responses = 0
-        self.short_responses = 0
-        self.unanswered = 0
-        self.unanswered_since: float = 0
-        self.work_seconds: float | None = None
-        self.slowdown: float = 1
-        self.samples: float = 0
-
-
-# What a remote domain reported of an upstream before any report; it is shared
-# by all upstreams, and never changed.
-NO_REPORT: Final = PeerReport(0, 0)
-
-
 @final
 class Liveness:
     """Hold this instance's own evidence of whether an upstream is alive.
@@ -176,7 +135,7 @@
     instance last sent a new flow to it, cold or warm.  `missing_since` and
     `ended_at` are zero while it is registered.  `busy` counts requests in
     progress and `flows` open flows, both as seen by this instance;
-    `report_by_member` holds what other instances see.  `domain_report` is
+    `reports` holds what other instances see.  `domain_report` is
     the latest total of its domain, reported by an instance there, if that is a
     remote one.  `work` is what this instance sees of its work.  A `shadowed`
     upstream shares its cookie with another and gets no new flow.
@@ -195,7 +154,7 @@
         'missing_since',
         'name',
         'outlier_state',
-        'report_by_member',
+        'reports',
         'shadowed',
         'work',
     )
@@ -215,7 +174,7 @@
         self.work = UpstreamWork()
         self.busy = 0
         self.flows = 0
-        self.report_by_member: dict[str, PeerReport] = {}
+        self.reports = PeerReports()
         self.domain_report = NO_REPORT
 
 
--- a/marlbend/test/steering.py
+++ b/marlbend/test/steering.py
@@ -21,11 +21,11 @@
     MIN_REQUESTS,
     record_service_time,
 )
+from marlbend.steering.reports import PeerReport, add_report
 from marlbend.steering.state import OUT_INDEFINITELY
 from marlbend.steering.steer import make_receiver, retry_unanswered_syn
 from marlbend.steering.upstream_expiry import expire_upstreams
 from marlbend.steering.upstreams import (
-    PeerReport,
     end_upstream,
     mark_missing,
     register_upstream,
@@ -139,7 +139,8 @@
     def report_busy(self, member: str, upstream: str, busy: str) -> None:
         """Apply a peer's report of its requests in progress at an upstream."""
         known = self.steering.pool.by_name[upstream]
-        known.report_by_member[member] = PeerReport(self.now, int(busy))
+        report = PeerReport(self.now, int(busy))
+        add_report(known.reports, member, report)
 
     def report_domain_busy(self, upstream: str, busy: str) -> None:
         """Apply the total of requests that the upstream's domain reports."""
@@ -282,7 +283,7 @@
         report = PeerReport(self.now, 0)
         report.unanswered = int(count)
         report.unanswered_since = self.now - 0.45
-        known.report_by_member[member] = report
+        add_report(known.reports, member, report)
 
     def complete_request(self, flow: str, size: str) -> None:
         """Send a request, and acknowledge a response of `size` bytes."""
--- a/marlbend/test/test_completion.py
+++ b/marlbend/test/test_completion.py
@@ -7,8 +7,9 @@
 
 from marlbend.steering.failure_detection import count_busy
 from marlbend.steering.placement import choice, completion
+from marlbend.steering.reports import PeerReport, add_report
 from marlbend.steering.state import Steering
-from marlbend.steering.upstreams import PeerReport, Upstream
+from marlbend.steering.upstreams import Upstream
 from marlbend.test.test_steering import CASES, Scenario, play_case
 
 COST = 0.05
@@ -58,7 +59,7 @@
         report.slowdown = slowdown
         report.samples = 9
         upstream = self.driver.steering.pool.by_name[name]
-        upstream.report_by_member['x'] = report
+        add_report(upstream.reports, 'x', report)
         completion.refresh_slowdowns(self.driver.steering)
 
     def count_chosen(self, choices: int = 60) -> Counter[str]:
--- a/marlbend/test/test_edge.py
+++ b/marlbend/test/test_edge.py
@@ -479,10 +479,12 @@
             upstream = local.steering.pool.by_name[name]
             record_unanswered(local.steering, upstream, now - 0.1)
         remote_by_name = remote.steering.pool.by_name
-        await wait_until(lambda: 'n1' in remote_by_name['i-1'].report_by_member)
-        assert remote_by_name['i-1'].report_by_member['n1'].unanswered
+        await wait_until(
+            lambda: 'n1' in remote_by_name['i-1'].reports.by_member
+        )
+        assert remote_by_name['i-1'].reports.by_member['n1'].unanswered
         # The path from domain a to an upstream of b is irrelevant within b.
-        assert 'n1' not in remote_by_name['i-2'].report_by_member
+        assert 'n1' not in remote_by_name['i-2'].reports.by_member
 
     run_with_fleet(scenario)
 
--- a/marlbend/test/test_opening.py
+++ b/marlbend/test/test_opening.py
@@ -8,8 +8,8 @@
     MIN_REQUESTS,
     record_service_time,
 )
+from marlbend.steering.reports import PeerReport, add_report
 from marlbend.steering.state import Outcome
-from marlbend.steering.upstreams import PeerReport
 from marlbend.test.steering import SteeringDriver
 
 COST = 0.05
@@ -36,7 +36,7 @@
         report = PeerReport(self.now, requests)
         report.work_seconds = requests * COST
         upstream = self.steering.pool.by_name['a1']
-        upstream.report_by_member['n-2'] = report
+        add_report(upstream.reports, 'n-2', report)
 
     def count(self, outcome: Outcome) -> int:
         """Return how often an outcome was counted."""
--- a/marlbend/test/test_outstanding_work.py
+++ b/marlbend/test/test_outstanding_work.py
@@ -304,8 +304,8 @@
     instance.hear('n-3', 'b', describe('c1', 1, 900))
     known = instance.steering.pool.by_name['a1']
     assert instance.work_of('a1') == 60
-    assert known.report_by_member['n-2'].slowdown == 16
-    assert known.report_by_member['n-2'].samples == 1000
+    assert known.reports.by_member['n-2'].slowdown == 16
+    assert known.reports.by_member['n-2'].samples == 1000
     assert instance.work_of('c1') == 0
 
 
--- a/marlbend/test/test_service_times.py
+++ b/marlbend/test/test_service_times.py
@@ -31,7 +31,7 @@
     list_recent_reports,
     record_speed,
 )
-from marlbend.steering.upstreams import PeerReport
+from marlbend.steering.reports import PeerReport
 from marlbend.test.simulation import patched_clock
 from marlbend.test.steering import SteeringDriver
 from marlbend.test.test_reopened_flows import Peer, Peers
