Refuse a flow beyond the limit without comparing upstreams

Cause: the best upstream and a free slot were looked up for each SYN, although the limit of its priority refuses most of them, whichever upstream is best.

Change: admission control checks the limit first, and looks for a free slot only where it would be believed. The upstreams that may get a flow are listed once, and the slow-start limit is looked up once for each list. A flow that both the limit and the lack of room refuse has the limit as its reason now. verdicts.py takes the plain values from admission.py.

--- a/marlbend/edge/explaining.py
+++ b/marlbend/edge/explaining.py
@@ -19,7 +19,7 @@
     decide,
     find_limit,
 )
-from marlbend.steering.placement.choice import explain_candidates
+from marlbend.steering.placement.choice import explain_candidates, list_usable
 from marlbend.steering.placement.completion import (
     Candidate,
     expected_completion,
@@ -27,6 +27,7 @@
 from marlbend.steering.placement.opening import (
     NO_UPSTREAM,
     make_admission_request,
+    set_completion,
 )
 from marlbend.steering.placement.service_times import expected_seconds
 from marlbend.steering.routes import pick_service
@@ -104,10 +105,9 @@
     placed: tuple[FlowExplanation, float],
 ) -> FlowExplanation:
     explanation, completion_seconds = placed
-    best = steering.pool.by_name[explanation.candidates[0].name]
-    request = make_admission_request(
-        steering, flow_key, spec, best, completion_seconds
-    )
+    usable = list_usable(steering, explanation.service)
+    request = make_admission_request(steering, flow_key, spec, usable)
+    set_completion(steering, request, completion_seconds)
     admission = steering.estimates.admission
     now = steering.now
     verdict = decide(admission, request, now)
--- a/marlbend/steering/failure_detection.py
+++ b/marlbend/steering/failure_detection.py
@@ -126,7 +126,8 @@
         return True
     if now < upstream.liveness.next_probe_at or upstream.missing_since:
         return True
-    return any(
+    # Hardly any upstream has such a report.
+    return bool(summarize(upstream.reports, now).unanswered) and any(
         report.unanswered >= REPORTED_UNANSWERED
         for report in _credible_reports(upstream, now)
     )
--- a/marlbend/steering/placement/admission.py
+++ b/marlbend/steering/placement/admission.py
@@ -12,7 +12,6 @@
 target alone limits the wait, and the share limits the number.
 """
 
-import enum
 import math
 from typing import Final, final
 
@@ -30,6 +29,16 @@
     RouteActivity,
     record_admitted_route,
 )
+from marlbend.steering.placement.verdicts import (
+    CALLER_SHARE,
+    NO_ROOM,
+    PRIORITY,
+    ROOM,
+    WAIT,
+    AdmissionRequest,
+    Verdict,
+    VerdictKind,
+)
 
 __all__ = (
     'NO_ROOM',
@@ -39,8 +48,10 @@
     'Verdict',
     'VerdictKind',
     'allowed_wait',
+    'believes_free_slots',
     'decide',
     'find_limit',
+    'is_limited',
     'record_served',
     'record_shed',
     'record_verdict',
@@ -98,79 +109,6 @@
 MAX_SERVICES: Final = 64
 MAX_COUNTERS: Final = 1_024
 
-ROOM: Final = 'room'
-NO_ROOM: Final = 'no room in time'
-PRIORITY: Final = 'priority'
-CALLER_SHARE: Final = 'caller share'
-WAIT: Final = 'wait'
-
-
-@enum.unique
-@final
-class VerdictKind(enum.Enum):
-    """Name what is done with a new flow."""
-
-    ADMIT = 'admit'
-    HOLD = 'hold'
-    REFUSE = 'refuse'
-
-
-@final
-class Verdict:
-    """Hold a decision, and the reason that logs and metrics show."""
-
-    __slots__ = ('kind', 'reason')
-
-    def __init__(self, kind: VerdictKind, reason: str) -> None:
-        """Set both."""
-        self.kind = kind
-        self.reason = reason
-
-
-@final
-class AdmissionRequest:
-    """Hold what one decision depends on.
-
-    `caller` is the four bytes of an address.  `priority_steps` counts the steps
-    above the lowest priority of the service.  `completion_seconds` is the
-    expected time to complete the request at the best candidate, and
-    `cost_seconds` the expected service time.  `room_seconds` is the expected
-    time until that candidate has capacity, infinite if unknown.
-
-    `has_free_slot` is set if an upstream that may get the flow has a free slot,
-    `is_measured` if the service times of the route are known, and
-    `is_route_served` if a flow of the route was admitted within the last
-    second.
-    """
-
-    __slots__ = (
-        'caller',
-        'completion_seconds',
-        'cost_seconds',
-        'endpoint',
-        'has_free_slot',
-        'is_measured',
-        'is_route_served',
-        'priority_steps',
-        'room_seconds',
-        'service',
-        'target_seconds',
-    )
-
-    def __init__(self, service: str, endpoint: bytes, caller: bytes) -> None:
-        """Initialize as a flow of a route without a target."""
-        self.service = service
-        self.endpoint = endpoint
-        self.caller = caller
-        self.target_seconds: float = 0
-        self.priority_steps = 0
-        self.completion_seconds: float = 0
-        self.cost_seconds: float = 0
-        self.room_seconds = math.inf
-        self.has_free_slot = False
-        self.is_measured = False
-        self.is_route_served = True
-
 
 @final
 class ServiceAdmission:
@@ -227,6 +165,32 @@
         self.route_activity = RouteActivity()
 
 
+def is_limited(
+    state: AdmissionState, request: AdmissionRequest, now: float
+) -> bool:
+    """Return whether the limit refuses a flow, whichever upstream is best.
+
+    Most flows of an overload are refused.  With 88 instances, a comparison of
+    all upstreams for each of them kept small instances from answering others.
+    """
+    if not request.target_seconds or not request.is_measured:
+        return False
+    if request.has_free_slot and believes_free_slots(
+        state, request.service, now
+    ):
+        return False
+    known = state.by_service.get(request.service, _UNKNOWN)
+    return bool(_find_limit_reason(state, known, request, now))
+
+
+def believes_free_slots(
+    state: AdmissionState, service: str, now: float
+) -> bool:
+    """Return whether a free slot that this instance knows of is used."""
+    known = state.by_service.get(service, _UNKNOWN)
+    return now - known.disbelieved_at > DISBELIEF_SECONDS
+
+
 def decide(
     state: AdmissionState, request: AdmissionRequest, now: float
 ) -> Verdict:
@@ -234,8 +198,9 @@
     if not request.target_seconds or not request.is_measured:
         return Verdict(VerdictKind.ADMIT, ROOM)
     known = state.by_service.get(request.service, _UNKNOWN)
-    is_believed = now - known.disbelieved_at > DISBELIEF_SECONDS
-    if request.has_free_slot and is_believed:
+    if request.has_free_slot and believes_free_slots(
+        state, request.service, now
+    ):
         return Verdict(VerdictKind.ADMIT, ROOM)
     reason = _find_obstacle(state, known, request, now)
     if not reason:
@@ -352,14 +317,27 @@
     now: float,
 ) -> str:
     """Return the reason not to admit a flow now, empty if there is none."""
+    reason = _find_limit_reason(state, known, request, now)
+    if reason:
+        return reason
+    allowed = allowed_wait(state, request, now)
+    if request.completion_seconds <= allowed:
+        return ''
     is_over = _is_contended(known, now) and is_over_share(
         known.caller_shares, request.caller, now
     )
-    allowed = allowed_wait(state, request, now)
-    if request.completion_seconds > allowed:
-        usual = allowed / OVER_SHARE_WAIT if is_over else allowed
-        is_late = request.completion_seconds > usual
-        return NO_ROOM if is_late else CALLER_SHARE
+    usual = allowed / OVER_SHARE_WAIT if is_over else allowed
+    is_late = request.completion_seconds > usual
+    return NO_ROOM if is_late else CALLER_SHARE
+
+
+def _find_limit_reason(
+    state: AdmissionState,
+    known: ServiceAdmission,
+    request: AdmissionRequest,
+    now: float,
+) -> str:
+    """Return the reason why the limit refuses a flow, empty if it does not."""
     if find_limit(state, request.service, request.priority_steps, now) == 1:
         return ''
     relative = find_relative_work(known.caller_shares, request.caller, now)
--- a/marlbend/steering/placement/choice.py
+++ b/marlbend/steering/placement/choice.py
@@ -27,7 +27,10 @@
 )
 from marlbend.steering.placement.outlier_detection import exclude_ejected
 from marlbend.steering.placement.service_times import expected_seconds
-from marlbend.steering.placement.slow_start import can_open_flow
+from marlbend.steering.placement.slow_start import (
+    can_open_flow,
+    has_cold_limit,
+)
 from marlbend.steering.state import Steering
 from marlbend.steering.upstreams import Upstream
 
@@ -37,6 +40,7 @@
     'explain_candidates',
     'find_best',
     'has_free_slot',
+    'list_usable',
 )
 
 # By how many requests in progress per slot the local domain may be busier.
@@ -64,7 +68,7 @@
     Upstreams that are suspected or were tried before are chosen only where no
     other is left.  `endpoint` is that of the route, for the expected cost.
     """
-    usable = _list_usable(steering, service)
+    usable = list_usable(steering, service)
     untried = [each for each in usable if each not in tried]
     if steering.local_instance.places_by_work:
         completion_of = _make_estimate(steering, service, endpoint)
@@ -97,14 +101,18 @@
 
 
 def find_best(
-    steering: Steering, service: str, endpoint: bytes
+    steering: Steering, usable: list[Upstream], endpoint: bytes
 ) -> tuple[Upstream, float] | None:
     """Return the upstream for a first SYN, and its expected completion.
 
     The choice is random in part, so this takes the place of a call of
     `choose_upstream`.  The completion, in seconds, has no random part.
     """
-    upstream = choose_upstream(steering, service, [], endpoint)
+    if not usable:
+        return None
+    service = usable[0].entry.service
+    completion_of = _make_estimate(steering, service, endpoint)
+    upstream = _find_earliest(steering, usable, completion_of)
     if upstream is None:
         return None
     cost_seconds = expected_seconds(steering.estimates.service_times, endpoint)
@@ -114,20 +122,19 @@
     )
 
 
-def has_free_slot(steering: Steering, service: str) -> bool:
+def has_free_slot(steering: Steering, usable: list[Upstream]) -> bool:
     """Return whether an upstream that may get a new flow has a free slot.
 
     The slots of suspected upstreams count only where no other is left.
     """
-    usable = _list_usable(steering, service)
-    free = [
-        each
-        for each in usable
-        if count_busy(each, steering.now) < each.entry.slots
-    ]
-    if any(not is_suspected(steering, each) for each in free):
-        return True
-    return bool(free) and all(is_suspected(steering, each) for each in usable)
+    now = steering.now
+    has_free = False
+    for upstream in usable:
+        if count_busy(upstream, now) < upstream.entry.slots:
+            has_free = True
+            if not is_suspected(steering, upstream):
+                return True
+    return has_free and all(is_suspected(steering, each) for each in usable)
 
 
 def explain_candidates(
@@ -137,7 +144,7 @@
 
     A choice may differ by `COMPLETION_JITTER_SECONDS`.
     """
-    usable = _list_usable(steering, service)
+    usable = list_usable(steering, service)
     unsuspected = [each for each in usable if not is_suspected(steering, each)]
     cost_seconds = expected_seconds(steering.estimates.service_times, endpoint)
     idle_seconds = find_idle_seconds(steering, service)
@@ -189,17 +196,19 @@
     return min(candidates, key=lambda each: loads[each.name], default=None)
 
 
-def _list_usable(steering: Steering, service: str) -> list[Upstream]:
+def list_usable(steering: Steering, service: str) -> list[Upstream]:
+    """Return the upstreams that may get a new flow of a service now."""
     return exclude_ejected(steering, list(_find_usable(steering, service)))
 
 
 def _find_usable(steering: Steering, service: str) -> Iterator[Upstream]:
     same_service = steering.pool.by_service.get(service, {})
-    for upstream in same_service.values():
-        if _is_accepting(steering, upstream) and can_open_flow(
-            steering, upstream
-        ):
-            yield upstream
+    accepting = (
+        each for each in same_service.values() if _is_accepting(steering, each)
+    )
+    if not has_cold_limit(steering, service):
+        return accepting
+    return (each for each in accepting if can_open_flow(steering, each))
 
 
 def _is_accepting(steering: Steering, upstream: Upstream) -> bool:
--- a/marlbend/steering/placement/opening.py
+++ b/marlbend/steering/placement/opening.py
@@ -17,13 +17,16 @@
     Verdict,
     VerdictKind,
     allowed_wait,
+    believes_free_slots,
     decide,
+    is_limited,
     record_verdict,
 )
 from marlbend.steering.placement.choice import (
     choose_ejected,
     find_best,
     has_free_slot,
+    list_usable,
 )
 from marlbend.steering.placement.completion import (
     find_completion,
@@ -50,6 +53,7 @@
     'make_admission_request',
     'place_flow',
     'place_held_flow',
+    'set_completion',
 )
 
 # How often it is checked whether a held SYN has capacity.
@@ -79,13 +83,31 @@
 
     A SYN that has to wait but cannot be held is refused.
     """
-    best = find_best(steering, service, packet.endpoint)
+    usable = list_usable(steering, service)
+    if not usable:
+        return Placement(None, Verdict(VerdictKind.REFUSE, NO_UPSTREAM))
+    request = make_admission_request(steering, packet.flow_key, spec, usable)
+    admission = steering.estimates.admission
+    if is_limited(admission, request, steering.now):
+        verdict = decide(admission, request, steering.now)
+        record_verdict(admission, request, verdict, steering.now)
+        return Placement(None, verdict)
+    return _place_at_best(steering, packet, spec, (request, usable))
+
+
+def _place_at_best(
+    steering: Steering,
+    packet: Packet,
+    spec: RouteSpec,
+    described: tuple[AdmissionRequest, list[Upstream]],
+) -> Placement:
+    """Decide on a flow that the limit allows, at its best upstream."""
+    request, usable = described
+    best = find_best(steering, usable, packet.endpoint)
     if best is None:
         return Placement(None, Verdict(VerdictKind.REFUSE, NO_UPSTREAM))
     upstream, completion_seconds = best
-    request = make_admission_request(
-        steering, packet.flow_key, spec, upstream, completion_seconds
-    )
+    set_completion(steering, request, completion_seconds)
     admission = steering.estimates.admission
     verdict = decide(admission, request, steering.now)
     if _is_behind_held_flow(steering, packet, request, verdict):
@@ -95,7 +117,11 @@
     ):
         verdict = Verdict(VerdictKind.REFUSE, verdict.reason)
     if verdict.reason == NO_ROOM and spec.repeatable:
-        return _place_at_ejected(steering, packet, spec, (request, verdict))
+        ejected = choose_ejected(steering, request.service, spec.endpoint)
+        if ejected is not None:
+            return _place_at_ejected(
+                steering, packet, (request, verdict), ejected
+            )
     record_verdict(admission, request, verdict, steering.now)
     return Placement(upstream, verdict)
 
@@ -103,36 +129,28 @@
 def _place_at_ejected(
     steering: Steering,
     packet: Packet,
-    spec: RouteSpec,
     refusal: tuple[AdmissionRequest, Verdict],
+    ejected: Upstream,
 ) -> Placement:
     """Try an ejected upstream before a refusal for lack of capacity.
 
     Upstreams that shed are ejected like those that fail.  If it fails, the
-    caller repeats its idempotent request, as after a refusal.
+    caller of an idempotent request repeats it, as after a refusal.
     """
     request, verdict = refusal
-    endpoint = spec.endpoint
-    upstream = choose_ejected(steering, request.service, endpoint)
-    if upstream is not None:
-        other = make_admission_request(
-            steering,
-            packet.flow_key,
-            spec,
-            upstream,
-            find_completion(
-                steering,
-                upstream,
-                request.cost_seconds,
-                find_idle_seconds(steering, request.service),
-            ),
-        )
-        admission = steering.estimates.admission
-        other_verdict = decide(admission, other, steering.now)
-        if other_verdict.kind is VerdictKind.ADMIT:
-            request, verdict = other, other_verdict
-    record_verdict(steering.estimates.admission, request, verdict, steering.now)
-    return Placement(upstream, verdict)
+    completion_seconds = find_completion(
+        steering,
+        ejected,
+        request.cost_seconds,
+        find_idle_seconds(steering, request.service),
+    )
+    set_completion(steering, request, completion_seconds)
+    admission = steering.estimates.admission
+    other_verdict = decide(admission, request, steering.now)
+    if other_verdict.kind is VerdictKind.ADMIT:
+        verdict = other_verdict
+    record_verdict(admission, request, verdict, steering.now)
+    return Placement(ejected, verdict)
 
 
 def place_held_flow(
@@ -157,25 +175,36 @@
     steering: Steering,
     flow_key: bytes,
     spec: RouteSpec,
-    upstream: Upstream,
-    completion_seconds: float,
+    usable: list[Upstream],
 ) -> AdmissionRequest:
-    """Return what admission control has to know of a flow."""
-    service = upstream.entry.service
-    times = steering.estimates.service_times
+    """Return what admission control has to know before a choice.
+
+    `usable` holds the upstreams of the service that may get the flow, at least
+    one.  `has_free_slot` is left out if it would not be believed.
+    """
+    service = usable[0].entry.service
+    estimates = steering.estimates
     request = AdmissionRequest(service, spec.endpoint, flow_key[:CALLER_BYTES])
     lowest = steering.routes.lowest_priority_by_service.get(service, 0)
     request.target_seconds = spec.target_seconds
     request.priority_steps = max(lowest - spec.priority, 0)
-    request.completion_seconds = completion_seconds
-    request.cost_seconds = expected_seconds(times, spec.endpoint)
-    request.is_measured = is_measured(times, spec.endpoint)
-    request.has_free_slot = has_free_slot(steering, service)
+    request.cost_seconds = expected_seconds(
+        estimates.service_times, spec.endpoint
+    )
+    request.is_measured = is_measured(estimates.service_times, spec.endpoint)
+    if believes_free_slots(estimates.admission, service, steering.now):
+        request.has_free_slot = has_free_slot(steering, usable)
     request.is_route_served = was_route_admitted(
-        steering.estimates.admission.route_activity,
-        spec.endpoint,
-        steering.now,
+        estimates.admission.route_activity, spec.endpoint, steering.now
     )
+    return request
+
+
+def set_completion(
+    steering: Steering, request: AdmissionRequest, completion_seconds: float
+) -> None:
+    """Add when the request would complete, and when its upstream has room."""
+    request.completion_seconds = completion_seconds
     # A second of the backlog is done in a second, so what exceeds the allowed
     # wait now fits after as long.
     request.room_seconds = max(
@@ -183,7 +212,6 @@
         - allowed_wait(steering.estimates.admission, request, steering.now),
         0,
     )
-    return request
 
 
 def _is_behind_held_flow(
--- a/marlbend/steering/placement/outstanding_work.py
+++ b/marlbend/steering/placement/outstanding_work.py
@@ -51,6 +51,8 @@
 def own_work(steering: Steering, upstream: Upstream) -> float:
     """Return the remaining seconds of this instance's requests in progress."""
     requests = upstream.work.requests
+    if not requests and not upstream.busy:
+        return 0
     untracked = upstream.busy - len(requests)
     work: float = 0
     if untracked > 0:
@@ -74,15 +76,18 @@
     noise to the order of the candidates, and leaves the best at zero.
     """
     now = steering.now
-    service = upstream.entry.service
-    request_seconds = find_request_seconds(steering, service)
     work = own_work(steering, upstream)
-    work += sum_work(upstream.reports, now, request_seconds)
+    reported, counted = sum_work(upstream.reports, now)
+    work += reported
+    service = upstream.entry.service
+    if counted:
+        work += counted * find_request_seconds(steering, service)
     domain_report = upstream.domain_report
     if now - domain_report.received_at < OBSERVATION_MAX_AGE_SECONDS:
         domain_work = domain_report.work_seconds
         if domain_work is None:
-            domain_work = domain_report.busy * request_seconds
+            seconds = find_request_seconds(steering, service)
+            domain_work = domain_report.busy * seconds
         return max(work, domain_work)
     return work
 
--- a/marlbend/steering/placement/slow_start.py
+++ b/marlbend/steering/placement/slow_start.py
@@ -17,7 +17,7 @@
 from marlbend.steering.state import Steering
 from marlbend.steering.upstreams import Upstream
 
-__all__ = ('can_open_flow', 'record_new_flow')
+__all__ = ('can_open_flow', 'has_cold_limit', 'record_new_flow')
 
 # How many instances send new flows to a cold upstream.  Each of them may exceed
 # its rate by one flow; the platform tolerates five flows in excess of the rate.
@@ -25,9 +25,14 @@
 _NO_LIMITS: Final = ServiceLimits()
 
 
+def has_cold_limit(steering: Steering, service: str) -> bool:
+    """Return whether the cold upstreams of a service have a limited rate."""
+    return _find_limits(steering, service).cold_per_second > 0
+
+
 def can_open_flow(steering: Steering, upstream: Upstream) -> bool:
     """Return whether a new flow may go to an upstream now."""
-    limits = _find_limits(steering, upstream)
+    limits = _find_limits(steering, upstream.entry.service)
     rate = limits.cold_per_second
     is_warm = upstream.cold_until <= steering.now
     if not rate or (
@@ -44,9 +49,9 @@
     upstream.last_new_flow_at = steering.now
 
 
-def _find_limits(steering: Steering, upstream: Upstream) -> ServiceLimits:
+def _find_limits(steering: Steering, service: str) -> ServiceLimits:
     limits = steering.routes.publication.limits_by_service
-    return limits.get(upstream.entry.service, _NO_LIMITS)
+    return limits.get(service, _NO_LIMITS)
 
 
 def _may_have_restarted(
--- a/marlbend/steering/reports.py
+++ b/marlbend/steering/reports.py
@@ -153,20 +153,18 @@
     return summary
 
 
-def sum_work(reports: PeerReports, now: float, request_seconds: float) -> float:
-    """Return the reported work in seconds, each report weighted by its age.
+def sum_work(reports: PeerReports, now: float) -> tuple[float, float]:
+    """Return the reported work in seconds, and requests without known work.
 
-    The weight is 1 for a new report, and 0 for one that is too old.  Requests
-    of reports without work count as `request_seconds` each.
+    Each report is weighted by its age, from 1 for a new one to 0 for one that
+    is too old.
     """
     summary = summarize(reports, now)
     elapsed = (now - summary.computed_at) / OBSERVATION_MAX_AGE_SECONDS
     work = summary.work - elapsed * summary.whole_work
-    if summary.whole_counted:
-        counted = summary.counted - elapsed * summary.whole_counted
-        work += counted * request_seconds
+    counted = summary.counted - elapsed * summary.whole_counted
     # Rounding must not leave negative work.
-    return work if work > 0 else 0
+    return work if work > 0 else 0, counted if counted > 0 else 0
 
 
 def _add(
--- a/marlbend/test/test_completion.py
+++ b/marlbend/test/test_completion.py
@@ -209,14 +209,15 @@
     inputs.report_slowdown('a2', 2, age=0)
     steering = inputs.driver.steering
     steering.pool.by_name['a4'].missing_since = 1
-    best = choice.find_best(steering, 'catalog', ENDPOINT)
+    usable = choice.list_usable(steering, 'catalog')
+    best = choice.find_best(steering, usable, ENDPOINT)
     assert best is not None
     assert best[0].name == 'a2'
     assert best[1] == pytest.approx(0.2)
     found = choice.explain_candidates(steering, 'catalog', ENDPOINT)
     assert [each.name for each in found] == ['a2', 'a1']
     assert completion.expected_completion(found[0], COST) == best[1]
-    assert choice.find_best(steering, 'none', ENDPOINT) is None
+    assert choice.find_best(steering, [], ENDPOINT) is None
 
 
 def test_free_slot_of_a_suspected_upstream_does_not_count(
@@ -226,15 +227,16 @@
     inputs.add('a1')
     inputs.add('a2')
     steering = inputs.driver.steering
-    first, second = steering.pool.by_name.values()
-    assert choice.has_free_slot(steering, 'catalog')
+    usable = choice.list_usable(steering, 'catalog')
+    first, second = usable
+    assert choice.has_free_slot(steering, usable)
     first.busy = 2
     second.missing_since = 1
-    assert not choice.has_free_slot(steering, 'catalog')
+    assert not choice.has_free_slot(steering, usable)
     first.missing_since = 1
-    assert choice.has_free_slot(steering, 'catalog')
+    assert choice.has_free_slot(steering, usable)
     second.busy = 2
-    assert not choice.has_free_slot(steering, 'catalog')
+    assert not choice.has_free_slot(steering, usable)
 
 
 @pytest.mark.parametrize('name', CHOICE_CASES)
--- a/marlbend/test/test_peer_reports.py
+++ b/marlbend/test/test_peer_reports.py
@@ -66,7 +66,9 @@
         busy, unanswered, work = add_up(reports, now)
         assert summary.busy == busy
         assert len(summary.unanswered) == unanswered
-        assert sum_work(reports, now, REQUEST_SECONDS) == pytest.approx(work)
+        reported, counted = sum_work(reports, now)
+        found = reported + counted * REQUEST_SECONDS
+        assert found == pytest.approx(work)
 
 
 def test_summary_is_kept_while_nothing_changes() -> None:
