--- a/marlbend/steering/placement/admission.py
+++ b/marlbend/steering/placement/admission.py
@@ -66,7 +66,7 @@
 # 5% of all tries are shed on 30 instances, so a caller with three tries rarely
 # fails for that.
 SHED_STEP: Final = 0.2
-SERVED_STEP: Final = 0.01
+SERVED_STEP: Final = 0.02
 # The pressure halves in the first time while upstreams shed, and in the second
 # one after some time without.  Of 88 instances, each sees few responses of a
 # small service: with a first time of 2 s it forgets too much between them, and
