Leave time in a queue out of the age of a request

Cause: the remaining time of a request grows with its age, as in a heavy tail. In an overload most of its age is time in the queue of the upstream.

Change: what a request may have waited, by the known queue and the mean cost, is no part of its age.

--- a/marlbend/steering/placement/outstanding_work.py
+++ b/marlbend/steering/placement/outstanding_work.py
@@ -11,6 +11,7 @@
 from collections import Counter
 from typing import Final
 
+from marlbend.steering.failure_detection import count_busy
 from marlbend.steering.placement.service_loads import (
     DEFAULT_IDLE_SHARE,
     ServiceLoad,
@@ -49,19 +50,20 @@
 
 
 def own_work(steering: Steering, upstream: Upstream) -> float:
-    """Return the remaining seconds of this instance's requests in progress."""
+    """Return the remaining seconds of this instance's requests in progress.
+
+    What a request may have waited in the queue of the upstream is no part of
+    its age.  In an overload it would otherwise count as one of the heavy tail.
+    """
     requests = upstream.work.requests
     if not requests and not upstream.busy:
         return 0
-    untracked = upstream.busy - len(requests)
-    work: float = 0
-    if untracked > 0:
-        service = upstream.entry.service
-        work = untracked * find_request_seconds(steering, service)
+    request_seconds = find_request_seconds(steering, upstream.entry.service)
+    work = max(upstream.busy - len(requests), 0) * request_seconds
     times = steering.estimates.service_times
-    now = steering.now
+    waited = _count_queued(upstream, steering.now) * request_seconds
     for request in requests:
-        age = now - request.started_at
+        age = steering.now - request.started_at - waited
         work += remaining_seconds(
             times, request.endpoint, age if age > 0 else 0
         )
@@ -176,6 +178,12 @@
         )
 
 
+def _count_queued(upstream: Upstream, now: float) -> float:
+    """Return how many requests wait for each slot, as far as is known."""
+    slots = upstream.entry.slots
+    return max(count_busy(upstream, now) - slots, 0) / slots
+
+
 def _service_load(steering: Steering, upstream: Upstream) -> ServiceLoad:
     load_by_service = steering.estimates.load_by_service
     service = upstream.entry.service
--- a/marlbend/test/test_outstanding_work.py
+++ b/marlbend/test/test_outstanding_work.py
@@ -139,6 +139,21 @@
     assert own_work(instance.steering, fast) == 0
 
 
+def test_time_in_a_queue_is_no_part_of_the_age() -> None:
+    """In an overload, queued requests would look like those of a heavy tail.
+
+    Work of four times the real one refused most flows for lack of room.
+    """
+    instance = Instance()
+    upstream = instance.request('s')
+    instance.hear('n-2', 'a', describe(upstream.name, 3))
+    instance.advance(0.3)
+    # Two of four requests wait, one for each slot, which takes 0.4 s.
+    assert own_work(instance.steering, upstream) == pytest.approx(0.4)
+    instance.advance(0.2)
+    assert own_work(instance.steering, upstream) == pytest.approx(0.3)
+
+
 def test_syn_counts_as_a_whole_request_until_data() -> None:
     """A handshake takes no work from the request that follows it."""
     instance = Instance()
