Compute slowdowns only of upstreams with recent samples

Cause: with placement by work, the slowdown of each upstream is computed twice a second from all of its reports, 8 us with ten of them. docs/CAPACITY.md noted that this does not hold at 110,000 upstreams: 1.8 s a second.

Change: an upstream of which nobody reported a sample within 3 s, and of which this instance has none within 30 s, is skipped.

Evidence: test_upstreams_without_samples_take_no_time.

--- a/marlbend/steering/placement/completion.py
+++ b/marlbend/steering/placement/completion.py
@@ -13,6 +13,7 @@
     total_work,
 )
 from marlbend.steering.placement.speeds import (
+    REPORT_MAX_AGE_SECONDS,
     find_slowdown,
     list_recent_reports,
 )
@@ -39,6 +40,8 @@
 # An upstream that seems less slow than this counts as usual.  A few requests in
 # a heavy tail make it look so.
 MIN_SLOWDOWN: Final = 1.3
+# Older own samples have less than a thousandth of their weight.
+OWN_SAMPLES_SECONDS: Final = 30.0
 
 
 @final
@@ -131,14 +134,25 @@
     """Compute how slow each upstream is, for the choices until the next call.
 
     It takes ten times as long as the rest of an estimate, so a choice does not.
+    An upstream without recent samples is skipped: it takes 8 us with ten
+    reports, and a fleet may have 110,000.
     """
     now = steering.now
     for upstream in steering.pool.by_name.values():
+        if not _has_samples(upstream, now):
+            upstream.work.slowdown = 1
+            continue
         reports = list_recent_reports(upstream.reports.by_member.values(), now)
         slowdown = find_slowdown(upstream.work.speed, reports, now)
         upstream.work.slowdown = slowdown if slowdown > MIN_SLOWDOWN else 1
 
 
+def _has_samples(upstream: Upstream, now: float) -> bool:
+    if now - upstream.reports.sampled_at < REPORT_MAX_AGE_SECONDS:
+        return True
+    return now - upstream.work.speed.updated_at < OWN_SAMPLES_SECONDS
+
+
 def _add_delays(seconds: float, *, is_cold: bool, is_remote: bool) -> float:
     if is_cold:
         seconds *= COLD_SLOWDOWN
--- a/marlbend/steering/placement/speeds.py
+++ b/marlbend/steering/placement/speeds.py
@@ -47,7 +47,7 @@
         """Initialize without a sample."""
         self.log_ratio: float = 0
         self.weight: float = 0
-        self.updated_at: float = 0
+        self.updated_at = -math.inf
 
 
 class SpeedReport(Protocol):
--- a/marlbend/steering/reports.py
+++ b/marlbend/steering/reports.py
@@ -109,20 +109,24 @@
     """Hold the latest report of each instance, and the summary if it is known.
 
     Reports are added with `add_report`, so that the summary is renewed.
+    `sampled_at` is when one with samples of the speed was last received.
     """
 
-    __slots__ = ('by_member', 'summary')
+    __slots__ = ('by_member', 'sampled_at', 'summary')
 
     def __init__(self) -> None:
         """Initialize without a report."""
         self.by_member: dict[str, PeerReport] = {}
         self.summary: ReportSummary | None = None
+        self.sampled_at = float('-inf')
 
 
 def add_report(reports: PeerReports, member: str, report: PeerReport) -> None:
     """Replace the report of an instance."""
     reports.by_member[member] = report
     reports.summary = None
+    if report.samples:
+        reports.sampled_at = max(reports.sampled_at, report.received_at)
 
 
 def remove_report(reports: PeerReports, member: str) -> None:
--- a/marlbend/test/test_completion.py
+++ b/marlbend/test/test_completion.py
@@ -7,6 +7,7 @@
 
 from marlbend.steering.failure_detection import count_busy
 from marlbend.steering.placement import choice, completion
+from marlbend.steering.placement.speeds import record_speed
 from marlbend.steering.reports import PeerReport, add_report
 from marlbend.steering.state import Steering
 from marlbend.steering.upstreams import Upstream
@@ -157,6 +158,35 @@
     assert set(inputs.count_chosen()) == {'a2'}
 
 
+def test_upstreams_without_samples_take_no_time(
+    inputs: Inputs, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Of 110,000 upstreams, an instance hears of few that are slow.
+
+    Without samples an upstream that was slow counts as usual again.
+    """
+    for name in ('a1', 'a2', 'a3'):
+        inputs.add(name)
+    steering = inputs.driver.steering
+    inputs.report_slowdown('a1', 5, age=0)
+    record_speed(steering.pool.by_name['a2'].work.speed, 1, 0.1, steering.now)
+    calls: list[object] = []
+
+    def find_slowdown(*arguments: object) -> float:
+        calls.append(arguments)
+        return 5
+
+    monkeypatch.setattr(completion, 'find_slowdown', find_slowdown)
+    completion.refresh_slowdowns(steering)
+    assert len(calls) == 2
+    inputs.driver.wait('31')
+    calls.clear()
+    completion.refresh_slowdowns(steering)
+    assert not calls
+    upstreams = steering.pool.by_name.values()
+    assert all(each.work.slowdown == 1 for each in upstreams)
+
+
 def test_ties_are_spread(inputs: Inputs) -> None:
     """All instances would choose the first of several idle upstreams."""
     for number in range(3):
