Keep a cookie with the upstream that started first

Cause: of two upstreams with the same cookie, the first by name got it, and with it the open flows of the other one.

Change: the one that started first keeps it, by the start in its registration, so that all instances agree whichever they learn of first. Equal starts are ordered by name as before.

Evidence: test_open_flows_stay_when_another_name_has_the_same_cookie failed before in both orders.

--- a/marlbend/steering/upstreams.py
+++ b/marlbend/steering/upstreams.py
@@ -2,7 +2,7 @@
 
 A cookie is a digest of an upstream's name, so every instance derives the same
 one and no table of flows has to be shared.  If two upstreams have the same
-cookie, only the first of them by name gets new flows.
+cookie, only the one that started first gets flows.
 """
 
 import zlib
@@ -307,7 +307,7 @@
 def _add(pool: UpstreamPool, upstream: Upstream) -> None:
     other = pool.by_cookie.get(upstream.cookie)
     if other is not None and not other.ended_at and other is not upstream:
-        first, second = sorted((other, upstream), key=_name_of)
+        first, second = sorted((other, upstream), key=_find_precedence)
         second.shadowed = True
         pool.by_cookie[upstream.cookie] = first
     else:
@@ -317,5 +317,9 @@
     same_service[upstream.name] = upstream
 
 
-def _name_of(upstream: Upstream) -> str:
-    return upstream.name
+def _find_precedence(upstream: Upstream) -> tuple[int, str]:
+    """Return what orders two upstreams with the same cookie, by instance alike.
+
+    The one that started earlier may have open flows.
+    """
+    return upstream.entry.born, upstream.name
--- a/marlbend/test/test_steering.py
+++ b/marlbend/test/test_steering.py
@@ -120,6 +120,29 @@
     assert set(driver.sent) == {min(first, second)}
 
 
+@pytest.mark.parametrize('is_later_first', [False, True])
+def test_open_flows_stay_when_another_name_has_the_same_cookie(
+    *, is_later_first: bool
+) -> None:
+    """A new upstream would get the flows of the other one, and reset them.
+
+    An instance may learn of the later one first.
+    """
+    later, earlier = sorted(find_collision())
+    driver = SteeringDriver()
+    driver.route('web', 'catalog')
+    entries = [(earlier, 'born=5'), (later, 'born=9')]
+    if is_later_first:
+        entries.reverse()
+    for number, (name, born) in enumerate(entries):
+        driver.upstream(name, 'catalog', 'a', born)
+        driver.open(f'f{number}', 'web')
+    driver.sent.clear()
+    driver.establish('f0')
+    driver.open('f2', 'web')
+    assert set(driver.sent) == {earlier}
+
+
 def find_collision() -> tuple[str, str]:
     """Return two names with the same cookie."""
     seen: dict[int, str] = {}
