Bound the power in the time of an ejection

Cause: each ejection that another instance reports counts as a further one, and after 1,024 of them within their probation times the power of two overflows a float: the packet of a caller raised OverflowError.

Change: the exponent stops where the time is above its maximum already.

Evidence: test_upstream_that_was_ejected_very_often_is_ejected_again failed before with OverflowError.

--- a/marlbend/steering/placement/outlier_detection.py
+++ b/marlbend/steering/placement/outlier_detection.py
@@ -52,6 +52,8 @@
 # maximum.
 FIRST_EJECTION_SECONDS: Final = 2.0
 MAX_EJECTION_SECONDS: Final = 16.0
+# Above the maximum already; the power of 1,024 ejections overflows a float.
+MAX_DOUBLINGS: Final = 4
 # After this long without an ejection, the next ejection time is the first one
 # again.
 PROBATION_SECONDS: Final = 30.0
@@ -123,9 +125,8 @@
     usual_share = _short_share_of_others(same_service.values(), upstream, now)
     if short_responses < OUTLIER_OVER_SERVICE * usual_share * responses:
         return
-    ejection_seconds = (
-        FIRST_EJECTION_SECONDS * 2**upstream.outlier_state.ejections
-    )
+    doublings = min(upstream.outlier_state.ejections, MAX_DOUBLINGS)
+    ejection_seconds = FIRST_EJECTION_SECONDS * 2**doublings
     upstream.outlier_state.ejections += 1
     upstream.outlier_state.ejected_until = now + min(
         ejection_seconds, MAX_EJECTION_SECONDS
--- a/marlbend/test/test_steering.py
+++ b/marlbend/test/test_steering.py
@@ -8,6 +8,10 @@
 
 from marlbend.platform.header import decode_packet
 from marlbend.steering import Outcome, Publication, RouteSpec, update_routes
+from marlbend.steering.placement.outlier_detection import (
+    MAX_EJECTION_SECONDS,
+    eject_if_outlier,
+)
 from marlbend.steering.upstreams import derive_cookie, register_upstream
 from marlbend.test.cases import Case, read_cases
 from marlbend.test.steering import SteeringDriver
@@ -143,6 +147,22 @@
     assert set(driver.sent) == {earlier}
 
 
+def test_upstream_that_was_ejected_very_often_is_ejected_again() -> None:
+    """The ejection time overflowed, and the packet of a caller raised."""
+    driver = Scenario()
+    driver.route('web', 'catalog')
+    for name in ('a1', 'a2', 'a3'):
+        driver.upstream(name, 'catalog', 'a')
+    upstream = driver.steering.pool.by_name['a1']
+    upstream.outlier_state.ejections = 2_000
+    upstream.outlier_state.ejected_until = driver.now
+    upstream.outlier_state.short_responses = 9
+    upstream.outlier_state.responses = 9
+    eject_if_outlier(driver.steering, upstream)
+    seconds = upstream.outlier_state.ejected_until - driver.now
+    assert seconds == MAX_EJECTION_SECONDS
+
+
 def find_collision() -> tuple[str, str]:
     """Return two names with the same cookie."""
     seen: dict[int, str] = {}
