--- a/marlbend/test/test_opening.py
+++ b/marlbend/test/test_opening.py
@@ -3,6 +3,8 @@
 import pytest
 
 from marlbend.edge.placement_metrics import placement_lines
+from marlbend.steering.placement import opening
+from marlbend.steering.placement.admission import record_shed
 from marlbend.steering.placement.held_flows import MAX_HELD_FLOWS
 from marlbend.steering.placement.service_times import (
     MIN_REQUESTS,
@@ -61,6 +63,33 @@
     assert not driver.count(Outcome.HELD)
 
 
+def test_refusal_by_the_limit_compares_no_upstreams(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Small instances had no time to answer others in an overload.
+
+    Most flows are refused then, and each took as long as a placement.
+    """
+    driver = Overload()
+    for _ in range(1_000):
+        record_shed(
+            driver.steering.estimates.admission,
+            'catalog',
+            driver.now,
+            had_free_slot=True,
+        )
+    compared: list[object] = []
+    monkeypatch.setattr(opening, 'find_best', compared.append)
+    monkeypatch.setattr(opening, 'has_free_slot', compared.append)
+    for number in range(30):
+        driver.open(f'f{number}', 'web')
+    assert set(driver.sent) == {'reset'}
+    assert not compared
+    latest = driver.steering.estimates.admission.latest
+    assert latest is not None
+    assert latest.reason == 'priority'
+
+
 def test_flow_waits_for_capacity_that_comes_soon() -> None:
     """A refusal would cost its caller one of two retries."""
     driver = Overload()
