--- a/marlbend/steering/upstreams.py
+++ b/marlbend/steering/upstreams.py
@@ -318,8 +318,9 @@
 
 
 def _find_precedence(upstream: Upstream) -> tuple[int, str]:
-    """Return what orders two upstreams with the same cookie, by instance alike.
+    """Return the sort key of upstreams that have the same cookie.
 
-    The one that started earlier may have open flows.
+    It is the same on all instances.  The upstream that started first may have
+    open flows, which the cookie has to lead to.
     """
     return upstream.entry.born, upstream.name
