Report only proofs of liveness that the sender saw itself

Callers saw: with half of the upstreams gone under load, two of five new flows went to one that was gone, for as long as it was registered.

Cause: heartbeats passed on the age of the latest proof of liveness, also of one that was only reported.

Change: an instance reports the latest proof in its own flows. All instances of a domain hear each other directly, so nothing is lost.

--- a/marlbend/edge/upstream_updates.py
+++ b/marlbend/edge/upstream_updates.py
@@ -170,7 +170,7 @@
         _optional_age(upstream.liveness.unanswered_since, now)
         if unanswered_count
         else -1,
-        _optional_age(upstream.liveness.last_alive_at, now),
+        _optional_age(upstream.liveness.last_observed_at, now),
         round(upstream.outlier_state.responses),
         round(upstream.outlier_state.short_responses),
         int(ejected_seconds * _MILLISECONDS_PER_SECOND),
--- a/marlbend/steering/flows.py
+++ b/marlbend/steering/flows.py
@@ -10,8 +10,8 @@
 from typing import Final
 
 from marlbend.steering.liveness import (
+    observe_liveness,
     record_handshake,
-    record_liveness,
     record_unanswered,
 )
 from marlbend.steering.packet import Packet
@@ -119,7 +119,7 @@
     flow.tried.clear()
     flow.pending_syn = None
     move_flow(flow, upstream)
-    record_liveness(steering, upstream, steering.now)
+    observe_liveness(steering, upstream)
 
 
 def _handle_acknowledgement(
@@ -127,7 +127,7 @@
     flow: Flow,
     packet: Packet,
 ) -> None:
-    record_liveness(steering, flow.upstream, steering.now)
+    observe_liveness(steering, flow.upstream)
     _measure_request(steering, flow, packet)
     flow.unanswered_since = 0
     flow.retransmissions = 0
--- a/marlbend/steering/liveness.py
+++ b/marlbend/steering/liveness.py
@@ -16,6 +16,7 @@
 
 __all__ = (
     'handshake_timeout',
+    'observe_liveness',
     'record_handshake',
     'record_liveness',
     'record_probe',
@@ -60,6 +61,12 @@
     times.deviation += _DEVIATION_GAIN * (abs(error) - times.deviation)
 
 
+def observe_liveness(steering: Steering, upstream: Upstream) -> None:
+    """Record proof in a packet of this instance that an upstream is alive."""
+    upstream.liveness.last_observed_at = steering.now
+    record_liveness(steering, upstream, steering.now)
+
+
 def record_liveness(
     steering: Steering, upstream: Upstream, alive_at: float
 ) -> None:
--- a/marlbend/steering/upstreams.py
+++ b/marlbend/steering/upstreams.py
@@ -33,17 +33,20 @@
 
 @final
 class Liveness:
-    """Hold this instance's own evidence of whether an upstream is alive.
+    """Hold the evidence of whether an upstream is alive.
 
-    `last_alive_at` is the latest proof of liveness.  `unanswered` is the number
-    of unanswered packets since then: the oldest was sent at `unanswered_since`,
-    and the latest was found to be unanswered at `last_unanswered_at`.
+    `last_alive_at` is the latest proof of liveness, and `last_observed_at` the
+    latest that this instance saw itself.  `unanswered` is the number of
+    unanswered packets since `last_alive_at`: the oldest was sent at
+    `unanswered_since`, and the latest was found to be unanswered at
+    `last_unanswered_at`.
     `next_probe_at` is when a new flow may probe the upstream again, and
     `recovered_at` when it last responded after several unanswered packets.
     """
 
     __slots__ = (
         'last_alive_at',
+        'last_observed_at',
         'last_unanswered_at',
         'next_probe_at',
         'recovered_at',
@@ -54,6 +57,7 @@
     def __init__(self) -> None:
         """Initialize without evidence."""
         self.last_alive_at: float = 0
+        self.last_observed_at: float = 0
         self.unanswered = 0
         self.unanswered_since: float = 0
         self.last_unanswered_at: float = 0
--- a/marlbend/wire/heartbeats.py
+++ b/marlbend/wire/heartbeats.py
@@ -126,14 +126,19 @@
     an upstream of the sender's domain, it includes those that other instances
     reported.  `unanswered` counts unanswered packets since the last proof of
     liveness, and `unanswered_age` is the age of the oldest of them.
-    `liveness_age` is the age of the last proof of liveness, observed by the
-    sender or reported to it.  Both ages are -1 if there is none.  `responses`
-    counts recent responses and `short_responses` those that are short enough to
-    be errors.  The sender ejects the upstream for another `ejected_for`
-    milliseconds, zero if it does not.  `work` is the outstanding work in
-    milliseconds, -1 if unknown, of the same requests as `busy`.  `slowdown` is
-    the time that requests take in percent of the expected one, zero if unknown,
-    from a number of `samples`.  Instances of former releases send neither.
+    `liveness_age` is the age of the last proof of liveness that the sender saw
+    itself.  Both ages are -1 if there is none.  `responses` counts recent
+    responses and `short_responses` those that are short enough to be errors.
+    The sender ejects the upstream for another `ejected_for` milliseconds, zero
+    if it does not.  `work` is the outstanding work in milliseconds, -1 if
+    unknown, of the same requests as `busy`.  `slowdown` is the time that
+    requests take in percent of the expected one, zero if unknown, from a number
+    of `samples`.
+
+    Instances of former releases send neither of the last three, and as
+    `liveness_age` also that of a proof that was reported to them.  Passed on,
+    an age grows too little by the delay of each heartbeat, so that under load
+    an upstream that is gone seems to have responded a moment ago.
     """
 
     cookie: int
