Add up the unanswered packets that several instances report

Cause: an instance suspected an upstream on the report of another one only from two unanswered packets on. After the first, the other one sends the upstream no flow for a while, so with many instances it rarely has two: each of 88 instances had to try each of 30 upstreams itself, again and again.

Change: the unanswered packets of all reports without a later proof of liveness are added up.

Evidence: the new test failed before (one packet each at two instances did not count).

--- a/marlbend/steering/failure_detection.py
+++ b/marlbend/steering/failure_detection.py
@@ -48,6 +48,7 @@
 PARTITION_UPSTREAMS: Final = 2
 PARTITION_SECONDS: Final = 0.6
 # A single datagram lost by another instance does not make an upstream suspect.
+# The reports are added up, as each instance sees few packets of an upstream.
 REPORTED_UNANSWERED: Final = 2
 # After this many false suspicions within this time, an instance resets no flow.
 # Lost datagrams alone cause about one false suspicion in ten seconds.
@@ -127,9 +128,9 @@
     if now < upstream.liveness.next_probe_at or upstream.missing_since:
         return True
     # Hardly any upstream has such a report.
-    return bool(summarize(upstream.reports, now).unanswered) and any(
-        report.unanswered >= REPORTED_UNANSWERED
-        for report in _credible_reports(upstream, now)
+    return bool(summarize(upstream.reports, now).unanswered) and (
+        sum(report.unanswered for report in _credible_reports(upstream, now))
+        >= REPORTED_UNANSWERED
     )
 
 
--- a/marlbend/test/test_liveness.py
+++ b/marlbend/test/test_liveness.py
@@ -10,6 +10,7 @@
     merge_upstream_updates,
     updates_for_local_domain,
 )
+from marlbend.steering.failure_detection import is_suspected
 from marlbend.test.steering import START, SteeringDriver
 from marlbend.wire.heartbeats import Heartbeat, MemberUpdate
 
@@ -73,3 +74,17 @@
         for driver in drivers
     ]
     assert max(alive_at) <= START + DELAY_SECONDS + 0.001
+
+
+def test_unanswered_packets_of_two_instances_add_up() -> None:
+    """Each of many instances would have to try an upstream that is gone."""
+    driver = make_instances()[0]
+    upstream = driver.steering.pool.by_name[UPSTREAM]
+    driver.report_unanswered('n1', UPSTREAM, '1')
+    assert not is_suspected(driver.steering, upstream)
+    driver.report_unanswered('n2', UPSTREAM, '1')
+    assert is_suspected(driver.steering, upstream)
+    # A response to this instance outweighs both.
+    driver.open('f', 'web')
+    driver.establish('f')
+    assert not is_suspected(driver.steering, upstream)
