Ignore ejections that leave only upstreams that are gone

Cause: ejections are ignored where they would exclude more than half of the usable upstreams, but those that are gone counted as left.

Change: the share is of the upstreams that are not suspected.

Evidence: the new test failed before (only the two upstreams that were gone were usable, and got the flow).

--- a/marlbend/steering/placement/outlier_detection.py
+++ b/marlbend/steering/placement/outlier_detection.py
@@ -9,12 +9,13 @@
 
 An unjustified ejection costs little: the upstream keeps its open flows and gets
 new ones again after the ejection time, and ejections are ignored where they
-would exclude more than half of the usable upstreams.
+would exclude more than half of the usable upstreams that respond.
 """
 
 from collections.abc import Iterable, Sequence
 from typing import Final
 
+from marlbend.steering.failure_detection import is_suspected
 from marlbend.steering.medians import STEP, update_median
 from marlbend.steering.state import ResponseSize, Steering
 from marlbend.steering.upstreams import Upstream
@@ -62,7 +63,7 @@
 # The response counts in reports of other instances are used up to this age.
 RESPONSE_COUNTS_MAX_AGE_SECONDS: Final = 2.5
 # Ejections are ignored if they would exclude more than this share of the usable
-# upstreams of a service.
+# upstreams of a service that respond.
 MAX_EJECTED_SHARE: Final = 0.5
 
 
@@ -156,14 +157,26 @@
     steering: Steering,
     usable: Sequence[Upstream],
 ) -> list[Upstream]:
-    """Return the upstreams that are not ejected, or all if too many are."""
-    now = steering.now
-    kept = [each for each in usable if now >= each.outlier_state.ejected_until]
-    if len(kept) < len(usable) * MAX_EJECTED_SHARE:
+    """Return the upstreams that are not ejected, or all if too many are.
+
+    Only upstreams that respond are counted.  In an overload they shed requests
+    and are ejected, which would leave those that are gone.
+    """
+    kept = _list_unejected(usable, steering.now)
+    if len(kept) == len(usable):
+        return kept
+    counted = [each for each in usable if not is_suspected(steering, each)]
+    counted = counted or list(usable)
+    left = _list_unejected(counted, steering.now)
+    if len(left) < len(counted) * MAX_EJECTED_SHARE:
         return list(usable)
     return kept
 
 
+def _list_unejected(usable: Sequence[Upstream], now: float) -> list[Upstream]:
+    return [each for each in usable if now >= each.outlier_state.ejected_until]
+
+
 def _update_median(estimate: ResponseSize, size: int, step: float) -> None:
     estimate.responses += 1
     if estimate.responses == 1:
--- a/marlbend/test/test_liveness.py
+++ b/marlbend/test/test_liveness.py
@@ -11,6 +11,7 @@
     updates_for_local_domain,
 )
 from marlbend.steering.failure_detection import is_suspected
+from marlbend.steering.placement.choice import list_usable
 from marlbend.test.steering import START, SteeringDriver
 from marlbend.wire.heartbeats import Heartbeat, MemberUpdate
 
@@ -88,3 +89,19 @@
     driver.open('f', 'web')
     driver.establish('f')
     assert not is_suspected(driver.steering, upstream)
+
+
+def test_ejections_leave_an_upstream_that_responds() -> None:
+    """Half of a service is gone, and the other half sheds and is ejected."""
+    driver = make_instances()[0]
+    for name in ('a2', 'a3', 'a4'):
+        driver.upstream(name, 'catalog', 'a')
+    pool = driver.steering.pool.by_name
+    for name in (UPSTREAM, 'a2'):
+        driver.report_unanswered('n1', name, '2')
+    for name in ('a3', 'a4'):
+        pool[name].outlier_state.ejected_until = driver.now + 1
+    usable = list_usable(driver.steering, 'catalog')
+    assert {each.name for each in usable} >= {'a3', 'a4'}
+    driver.open('f', 'web')
+    assert driver.sent[-1] in {'a3', 'a4'}
