Simulate a crash of half of the upstreams in bench placing

No load showed what instances do with upstreams that become unreachable while they are registered: the simulated callers and upstreams had no such state.

The load crash lets half of the upstreams be gone for 6 s in the middle, with the callers, targets and numbers of scarce and 0.9 of the remaining capacity asked for. The host of such an upstream resets each SYN at the caller's side, which ends the try, and answers nothing else. The upstream returns without its flows and resets those that were open before. A caller retransmits a request while the upstream of its flow is gone, from 0.2 s on with doubled pauses, and gives up at the deadline. A request whose last try was reset by a host counts as failed, and such a reset does not count in reset_share, which is that of instances. unanswered_share is reported for this load alone.

The new cases failed on scratch copies with one fault planted each: a returned upstream that serves its former flows, one that responds while it is gone, one that leaves SYNs without a reset, and SYNs that are not counted.

--- a/bench/placing.py
+++ b/bench/placing.py
@@ -115,10 +115,12 @@
     """Simulate an upstream.
 
     `busy` is the number of requests in service, `service_seconds` the total
-    service time of all requests so far.
+    service time of all requests so far.  One that crashed is gone: another
+    object replaces it when it returns.
     """
 
     busy: int = 0
+    is_gone: bool = False
     queue: deque[QueuedRequest] = msgspec.field(default_factory=deque)
     service_seconds: float = 0
 
--- a/bench/placing_callers.py
+++ b/bench/placing_callers.py
@@ -2,7 +2,9 @@
 
 Callers see only the packets that an instance forwards and the resets that it
 sends.  Upstreams answer callers directly, so an instance sees no responses.
-All packets of a flow reach the same instance.
+All packets of a flow reach the same instance.  The host of an upstream that
+crashed resets SYNs and answers nothing else; after the upstream's return, it
+resets the flows that were open before.
 """
 
 import enum
@@ -41,6 +43,9 @@
 # When a caller repeats a SYN, and when it gives up, after the first one.
 SYN_RETRANSMISSIONS: Final = (0.2, 0.6)
 HANDSHAKE_LIMIT_SECONDS: Final = 1.4
+# The pauses between the transmissions of a request double.
+MIN_RETRANSMIT_SECONDS: Final = 0.2
+MAX_RETRANSMIT_SECONDS: Final = 1.6
 MAX_TRIES: Final = 3
 RETRY_DELAY_SECONDS: Final = (0.02, 0.05)
 REQUEST_BYTES: Final = 900
@@ -104,7 +109,10 @@
 
 
 class CallerFlow(msgspec.Struct, eq=False):
-    """Hold the caller's side of a flow."""
+    """Hold the caller's side of a flow.
+
+    `upstream` is the one that completed the handshake.
+    """
 
     key: bytes
     endpoint: bytes
@@ -113,6 +121,9 @@
     sequence: int = 1
     acknowledged: int = 0
     is_ended: bool = False
+    upstream: SimulatedUpstream = msgspec.field(
+        default_factory=SimulatedUpstream
+    )
 
 
 class Session(msgspec.Struct, eq=False):
@@ -141,7 +152,9 @@
     """Hold the open flows, the upstreams and the counts of tries.
 
     `find_slowdown` returns how much slower an upstream is at a time.
-    `unsettled` is the number of requests without an outcome.
+    `unsettled` is the number of requests without an outcome.  `syns` counts the
+    SYNs that instances sent to upstreams, and `unanswered_syns` those sent to
+    an upstream that was gone.
     """
 
     fleet: Fleet
@@ -153,26 +166,22 @@
     tries: int = 0
     reset_tries: int = 0
     shed_tries: int = 0
+    syns: int = 0
+    unanswered_syns: int = 0
 
 
 def connect_callers(callers: Callers) -> None:
     """Let the callers see what the instances do with their packets."""
 
     def forward(packet: Packet, upstream: Upstream) -> None:
+        if packet.is_syn:
+            _answer_syn(callers, packet.flow_key, upstream)
+            return
         session = callers.session_by_key.get(packet.flow_key)
         if session is None or session.flow is None:
             return
-        flow = session.flow
-        if packet.is_syn:
-            schedule(
-                callers.fleet,
-                callers.fleet.now + CALLER_SECONDS,
-                lambda: _complete_handshake(
-                    callers, session, flow, upstream.cookie
-                ),
-            )
-        elif packet.payload_size:
-            _serve(callers, session, flow, upstream.name)
+        if packet.payload_size:
+            _serve(callers, session, session.flow, upstream.name)
 
     def reset(key: bytes) -> None:
         session = callers.session_by_key.get(key)
@@ -187,19 +196,15 @@
 
 def ask_next(callers: Callers, session: Session) -> None:
     """Ask for the next request of a session when it is due."""
-    if session.asked < len(session.requests):
-        planned_at = session.requests[session.asked].planned_at
-        schedule(
-            callers.fleet,
-            max(planned_at, callers.fleet.now),
-            lambda: _ask(callers, session),
-        )
 
+    def ask() -> None:
+        session.asked += 1
+        session.request.asked_at = callers.fleet.now
+        _send_try(callers, session)
 
-def _ask(callers: Callers, session: Session) -> None:
-    session.asked += 1
-    session.request.asked_at = callers.fleet.now
-    _send_try(callers, session)
+    if session.asked < len(session.requests):
+        planned_at = session.requests[session.asked].planned_at
+        schedule(callers.fleet, max(planned_at, callers.fleet.now), ask)
 
 
 def _send_try(callers: Callers, session: Session) -> None:
@@ -263,18 +268,66 @@
     return packet
 
 
-def _complete_handshake(
-    callers: Callers, session: Session, flow: CallerFlow, cookie: int
+def _answer_syn(callers: Callers, key: bytes, upstream: Upstream) -> None:
+    simulated = callers.upstream_by_name[upstream.name]
+    callers.syns += 1
+    callers.unanswered_syns += simulated.is_gone
+    session = callers.session_by_key.get(key)
+    if session is None or session.flow is None:
+        return
+    flow = session.flow
+
+    def complete_handshake() -> None:
+        if not flow.cookie and not flow.is_ended:
+            flow.cookie = upstream.cookie
+            flow.upstream = simulated
+            _send_request(callers, session, flow)
+
+    if simulated.is_gone:
+        _reset_by_host(callers, session, flow)
+    else:
+        fleet = callers.fleet
+        schedule(fleet, fleet.now + CALLER_SECONDS, complete_handshake)
+
+
+def _reset_by_host(
+    callers: Callers, session: Session, flow: CallerFlow
 ) -> None:
-    if not flow.cookie and not flow.is_ended:
-        flow.cookie = cookie
-        _send_request(callers, session, flow)
+    """Let a host end a try; a caller ignores that once another completed it."""
+
+    def reset() -> None:
+        is_open = flow.cookie and not flow.upstream.is_gone
+        if not is_open and not flow.is_ended:
+            _end_flow(callers, session)
+            _try_again(callers, session, CallerOutcome.FAILED)
+
+    schedule(callers.fleet, callers.fleet.now + CALLER_SECONDS, reset)
 
 
 def _send_request(callers: Callers, session: Session, flow: CallerFlow) -> None:
+    """Send a request; retransmit it while its upstream is gone."""
+    fleet = callers.fleet
+    request = session.request
     packet = _make_packet(flow, payload_size=REQUEST_BYTES)
     flow.sequence += REQUEST_BYTES
-    send_to_instance(callers.fleet, flow.instance, packet)
+    deadline_at = request.asked_at + session.route.deadline_seconds
+
+    def retransmit(seconds: float) -> None:
+        if flow.is_ended or request.outcome:
+            return
+        if flow.upstream.is_gone and fleet.now >= deadline_at:
+            _end_flow(callers, session)
+            _settle(callers, session, CallerOutcome.FAILED)
+            return
+        if flow.upstream.is_gone:
+            send_to_instance(fleet, flow.instance, packet)
+        wait_later(min(2 * seconds, MAX_RETRANSMIT_SECONDS))
+
+    def wait_later(seconds: float) -> None:
+        schedule(fleet, fleet.now + seconds, partial(retransmit, seconds))
+
+    send_to_instance(fleet, flow.instance, packet)
+    wait_later(MIN_RETRANSMIT_SECONDS)
 
 
 def _serve(
@@ -284,6 +337,11 @@
     fleet = callers.fleet
     upstream = callers.upstream_by_name[name]
     request = session.request
+    if upstream.is_gone:
+        return
+    if flow.upstream.is_gone:
+        _reset_by_host(callers, session, flow)
+        return
 
     def start() -> None:
         upstream.busy += 1
@@ -291,6 +349,8 @@
         schedule(fleet, fleet.now + request.cost_seconds * slowdown, end)
 
     def end() -> None:
+        if upstream.is_gone:
+            return
         upstream.busy -= 1
         respond(request.response_bytes)
         if upstream.queue:
@@ -339,8 +399,12 @@
         session.flow = None
 
 
-def _try_again(callers: Callers, session: Session) -> None:
-    """Try a request on a new flow, or settle it as refused."""
+def _try_again(
+    callers: Callers,
+    session: Session,
+    outcome: CallerOutcome = CallerOutcome.REFUSED,
+) -> None:
+    """Try a request on a new flow, or settle it with an outcome."""
     fleet = callers.fleet
     request = session.request
     retry_at = fleet.now + fleet.random.uniform(*RETRY_DELAY_SECONDS)
@@ -348,7 +412,7 @@
     if request.tries < MAX_TRIES and retry_at < deadline_at:
         schedule(fleet, retry_at, lambda: _send_try(callers, session))
     else:
-        _settle(callers, session, CallerOutcome.REFUSED)
+        _settle(callers, session, outcome)
 
 
 def _settle(callers: Callers, session: Session, outcome: CallerOutcome) -> None:
--- a/bench/placing_loads.py
+++ b/bench/placing_loads.py
@@ -4,7 +4,8 @@
 `docs/design/placement.md` for the goals.  There are 30 instances and 60
 upstreams for 15 simulated seconds, and half as many of both for `scarce`, which
 would take two minutes otherwise: a choice among fewer upstreams is faster, and
-there are fewer requests.
+there are fewer requests.  `crash` has the numbers, callers and targets of
+`scarce`.
 """
 
 import itertools
@@ -41,6 +42,7 @@
     ask_next,
     connect_callers,
 )
+from bench.placing_crash import schedule_crash
 from bench.placing_fleet import Fleet, restart_instances, start_fleet
 from marlbend.steering import RouteSpec
 
@@ -65,6 +67,9 @@
 SCARCE_CAPACITY_SHARE: Final = 1.6
 SCARCE_TARGET_SECONDS: Final = 0.9
 SCARCE_SIZE: Final = 0.5
+CRASHING_SHARE: Final = 0.5
+# Nine tenths of the capacity that remains during the crash.
+CRASH_CAPACITY_SHARE: Final = 0.45
 # Each ordinary caller has some 270 requests.  With more callers and fewer
 # requests for each, chance would decide who is the worst off.
 CALLER_COUNT: Final = 60
@@ -95,8 +100,9 @@
     do, and `size` the share of the full numbers of instances and upstreams.
     `tail_share` of the requests take longer by `TAIL_FACTOR`, `slow_share` of
     the upstreams are slower for a while, and `swing` is that of the demand in
-    each failure domain.  With `is_contended`, some callers ask for more, and
-    the shares of each are reported.
+    each failure domain.  `crashing_share` of the upstreams are unreachable for
+    a while.  With `is_contended`, some callers ask for more, and the shares of
+    each are reported.
     """
 
     capacity_share: float = 0.7
@@ -105,6 +111,7 @@
     tail_share: float = 0
     slow_share: float = 0
     swing: float = 0
+    crashing_share: float = 0
     is_contended: bool = False
     has_restart: bool = False
 
@@ -121,6 +128,13 @@
             is_contended=True,
         ),
         'restart': Load(has_restart=True),
+        'crash': Load(
+            CRASH_CAPACITY_SHARE,
+            SCARCE_TARGET_SECONDS,
+            SCARCE_SIZE,
+            crashing_share=CRASHING_SHARE,
+            is_contended=True,
+        ),
     }
 )
 
@@ -139,6 +153,8 @@
     time of an instance for each SYN, all three in the whole run.
     `worst_caller_share` is the served share of the worst-off caller divided by
     the mean, among the callers that do not ask for more than others.
+    `unanswered_share` is the SYNs that instances sent to an unreachable
+    upstream, of all that they sent to upstreams in the whole run.
     """
 
     in_aim_share: float
@@ -152,6 +168,7 @@
     in_aim_share_by_priority: dict[int, float] | None = None
     refused_share_by_priority: dict[int, float] | None = None
     worst_caller_share: float | None = None
+    unanswered_share: float | None = None
 
 
 class LoadReport(msgspec.Struct, frozen=True):
@@ -203,6 +220,8 @@
     if load.has_restart:
         restart = partial(restart_instances, callers.fleet)
         schedule(callers.fleet, seconds / 2, restart)
+    if load.crashing_share:
+        schedule_crash(callers, load.crashing_share, seed, seconds)
     run_events(callers.fleet, math.inf)
     if callers.unsettled:
         raise RuntimeError('a request has no outcome, or more than one')
@@ -355,6 +374,9 @@
         count_by_outcome=Counter(
             request.outcome.value for request in requests if request.outcome
         ),
+        unanswered_share=round(callers.unanswered_syns / callers.syns, 4)
+        if load.crashing_share
+        else None,
     )
     return _add_shares(figures, measured) if load.is_contended else figures
 
--- a/marlbend/test/test_placing_loads.py
+++ b/marlbend/test/test_placing_loads.py
@@ -5,7 +5,20 @@
 import msgspec
 import pytest
 
-from bench.placing import UNMEASURED_SECONDS, list_upstream_names
+from bench.events import run_events
+from bench.placing import (
+    UNMEASURED_SECONDS,
+    SimulatedUpstream,
+    list_upstream_names,
+)
+from bench.placing_callers import (
+    CallerOutcome,
+    CallerRequest,
+    Callers,
+    ask_next,
+    connect_callers,
+)
+from bench.placing_crash import schedule_crash
 from bench.placing_fleet import Fleet, restart_instances, start_fleet
 from bench.placing_loads import (
     LOAD_BY_NAME,
@@ -37,7 +50,7 @@
     assert play('tail') == play('tail')
 
 
-@pytest.mark.parametrize('name', ['scarce', 'restart'])
+@pytest.mark.parametrize('name', ['scarce', 'restart', 'crash'])
 @pytest.mark.parametrize('places_by_work', [False, True])
 def test_no_request_is_lost_or_counted_twice(
     name: str, *, places_by_work: bool
@@ -52,6 +65,8 @@
     assert sum(count_by_outcome.values()) == asked
     served = count_by_outcome['in_time'] + count_by_outcome.get('late', 0)
     assert figures.served_share == pytest.approx(served / asked, abs=1e-4)
+    # SYNs to unreachable upstreams are counted, and under no other load.
+    assert bool(figures.unanswered_share) == (name == 'crash')
 
 
 def test_tail_has_a_few_requests_of_seven_times_the_work() -> None:
@@ -64,7 +79,8 @@
 
 
 @pytest.mark.parametrize(
-    ('name', 'share'), [('tail', 0.7), ('wave', 0.7), ('scarce', 1.6)]
+    ('name', 'share'),
+    [('tail', 0.7), ('wave', 0.7), ('scarce', 1.6), ('crash', 0.45)],
 )
 def test_load_asks_for_its_share_of_the_capacity(
     name: str, share: float
@@ -118,3 +134,35 @@
 
 def test_open_flows_go_on_after_a_restart() -> None:
     assert play('restart').served_share == 1
+
+
+@pytest.mark.parametrize(
+    ('times_and_costs', 'tries', 'outcome'),
+    [
+        # A host that does not reset the SYN lets the caller wait for too long.
+        ([(2, 0.05)], [3], 'failed'),
+        # An upstream that is unreachable sends no response.
+        ([(0.9, 0.5)], [1], 'failed'),
+        # An upstream that returns does not know its former flows.
+        ([(0.5, 0.05), (7.2, 0.05)], [1, 2], 'in_time'),
+    ],
+)
+def test_caller_sees_the_only_upstream_crash(
+    times_and_costs: list[tuple[float, float]], tries: list[int], outcome: str
+) -> None:
+    """Let it crash after 1 s and return after 7 s."""
+    session = next(draw_sessions(LOAD_BY_NAME['crash'], 1, SECONDS))
+    fleet = Fleet(1, (session.route.spec,), 3, ('u-1',), places_by_work=False)
+    start_fleet(fleet)
+    callers = Callers(fleet, lambda *_: 1, {'u-1': SimulatedUpstream()})
+    connect_callers(callers)
+    requests = [CallerRequest(at, cost, 3000) for at, cost in times_and_costs]
+    session.requests = requests
+    callers.unsettled = len(requests)
+    ask_next(callers, session)
+    schedule_crash(callers, 1, 1, 8)
+    run_events(fleet, 9)
+    assert [each.tries for each in requests] == tries
+    assert {each.outcome for each in requests} == {CallerOutcome(outcome)}
+    # Resets by hosts are not those of instances.
+    assert callers.reset_tries == 0
