Let the cost of requests differ by route in the soak by work

With --by-work, every request took 10 ms at its upstream, so placement by work had no costs to tell apart. Requests now take 55, 72 and 5 ms by the endpoint of their route, and each service gets some of 5 ms. Without the option they take 10 ms as before, and no schedule changes: nothing is drawn for the costs. A slow upstream takes up to twenty times as long, thus up to 1.44 s.

slow_upstream stored the service time of the upstream and restored it at the end of the step. The slowdown is a factor now that the end of a step sets to 1.

--- a/bench/endpoints/upstreams.py
+++ b/bench/endpoints/upstreams.py
@@ -7,6 +7,7 @@
 import asyncio
 import enum
 import socket
+from collections.abc import Mapping
 from typing import Final, final
 
 import msgspec
@@ -14,6 +15,7 @@
 from bench.endpoints import packets as wire
 from bench.endpoints.callbacks import FlowCallbacks, shorten
 from bench.endpoints.packets import (
+    Endpoint,
     FlowKey,
     Packet,
     add_to_sequence,
@@ -81,8 +83,8 @@
     """Hold a simulated upstream and its flows.
 
     `born` counts its starts.  `cold_until` is the monotonic time in seconds at
-    which its warm-up ends, and zero if it was never cold.  A request takes
-    `service_seconds`.
+    which its warm-up ends, and zero if it was never cold.  A request takes the
+    time of its endpoint, by default `SERVICE_SECONDS`, times `slowdown`.
     """
 
     callbacks: FlowCallbacks
@@ -93,7 +95,8 @@
     born: int = 1
     state: UpstreamState = UpstreamState.READY
     cold_until: float = 0
-    service_seconds: float = SERVICE_SECONDS
+    service_seconds_by_endpoint: Mapping[Endpoint, float] = {}
+    slowdown: float = 1
     flow_by_key: dict[FlowKey, UpstreamFlow] = {}
 
     @property
@@ -234,8 +237,15 @@
         flow.expected_sequence = add_to_sequence(
             flow.expected_sequence, len(packet.payload)
         )
+        service_seconds = upstream.service_seconds_by_endpoint.get(
+            packet.destination, SERVICE_SECONDS
+        )
         asyncio.get_running_loop().call_later(
-            upstream.service_seconds, _run_request, upstream, flow, packet
+            service_seconds * upstream.slowdown,
+            _run_request,
+            upstream,
+            flow,
+            packet,
         )
     else:
         _send_unacknowledged(upstream, flow)
--- a/soak/run_state.py
+++ b/soak/run_state.py
@@ -30,6 +30,7 @@
     'DOMAINS',
     'ROUTES',
     'SERVICES',
+    'SERVICE_SECONDS_BY_ENDPOINT',
     'SWITCHING_ENDPOINT',
     'UPSTREAM_NAME_FORMAT',
     'Run',
@@ -52,6 +53,16 @@
 )
 # A route whose service changes with each release.
 SWITCHING_ENDPOINT: Final = ('198.18.0.4', 443)
+# How long requests take where processes place flows by work.  Each service gets
+# requests of different costs.
+SERVICE_SECONDS_BY_ENDPOINT: Final = MappingProxyType(
+    {
+        ROUTES[0].endpoint: 0.055,
+        ROUTES[1].endpoint: 0.072,
+        ROUTES[2].endpoint: 0.005,
+        SWITCHING_ENDPOINT: 0.005,
+    }
+)
 # Each release adds a marker route, and drops the one of this many releases ago.
 MARKER_RELEASES: Final = 3
 MARKER_ADDRESS_FORMAT: Final = '198.18.1.{}'
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -91,7 +91,8 @@
     """Describe a run; `seconds` is its length.
 
     Every release has `idle_routes` routes without traffic beside the others.
-    With `places_by_work`, every second instance places flows by work.
+    With `places_by_work`, every second instance places flows by work, and the
+    cost of requests differs by route.
     """
 
     seed: int
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -103,12 +103,9 @@
     """Let an upstream take many times as long for each request for a while."""
     upstream = pick_spare_upstream(run, random)
     if upstream is not None:
-        usual_seconds = upstream.service_seconds
-        upstream.service_seconds = usual_seconds * random.uniform(
-            2, MAX_SLOWDOWN
-        )
+        upstream.slowdown = random.uniform(2, MAX_SLOWDOWN)
         await asyncio.sleep(step.seconds)
-        upstream.service_seconds = usual_seconds
+        upstream.slowdown = 1
 
 
 async def drain_upstream(run: Run, step: Step, random: Random) -> None:
--- a/soak/wiring.py
+++ b/soak/wiring.py
@@ -31,6 +31,7 @@
 from soak.links import DisturbanceTracker, Links
 from soak.run_state import (
     DOMAINS,
+    SERVICE_SECONDS_BY_ENDPOINT,
     UPSTREAM_COUNTS,
     UPSTREAM_NAME_FORMAT,
     Run,
@@ -53,7 +54,7 @@
     runner = web.AppRunner(application, access_log=None)
     await runner.setup()
     await web.TCPSite(runner, f'{prefix}.{STORE_NET}.1', STORE_PORT).start()
-    run = _make_run(application[STORE_KEY], prefix, schedule.seed, folder)
+    run = _make_run(application[STORE_KEY], prefix, schedule, folder)
     async with AsyncExitStack() as stack:
         stack.callback(claim.close)
         stack.push_async_callback(runner.cleanup)
@@ -63,10 +64,11 @@
 
 
 def _make_run(
-    store: Store, prefix: str, seed: int, folder: pathlib.Path
+    store: Store, prefix: str, schedule: Schedule, folder: pathlib.Path
 ) -> Run:
-    random = Random(seed)
+    random = Random(schedule.seed)
     fleet = Fleet(prefix, folder, Checker(DisturbanceTracker()), Links(random))
+    fleet.places_by_work = schedule.places_by_work
     return Run(store, fleet, random)
 
 
@@ -75,7 +77,6 @@
         for number in range(count):
             await start_upstream(run, service, DOMAINS[number % len(DOMAINS)])
     run.idle_routes = schedule.idle_routes
-    run.fleet.places_by_work = schedule.places_by_work
     await publish_next_release(run)
     prefix = run.fleet.prefix
     for number, domain in enumerate(DOMAINS, 1):
@@ -107,6 +108,8 @@
     upstream = UpstreamServer(
         make_callbacks(run.checker), name, service, domain, upstream_socket
     )
+    if run.fleet.places_by_work:
+        upstream.service_seconds_by_endpoint = SERVICE_SECONDS_BY_ENDPOINT
     run.upstream_by_name[name] = upstream
     start_reading_with_sender(
         upstream_socket,
