Place each service by the method in force for it

Cause: with `placement` set to `work`, deployments without contention are placed in another way than by counts of requests, although they gain nothing from it.

Change: `placement` gets a third value, `adaptive`. A service is placed by counts until its pressure exceeds the slack or a flow of it is refused for load, and by work until 5 s after the last shed response or refusal. Estimates are always kept then, and heartbeats carry them. The enumeration `LocalInstance.placement` replaces `LocalInstance.places_by_work`; the code that read it asks `places_by_work` for a service, or `keeps_estimates`. Metric `marlbend_contention`; `explain` has the method in force and the setting. `bench placing` runs `adaptive` beside the other two.

A SYN that is held when its service is no longer placed by work is opened or refused by counts at its next check.

--- a/bench/placing_callers.py
+++ b/bench/placing_callers.py
@@ -119,7 +119,7 @@
     """Hold the requests that a caller makes one after the other.
 
     They share one flow; a new one follows if it ends early.  `number` selects
-    the instances of `domain` that get the flows, the same with both methods.
+    the instances of `domain` that get the flows, the same with all methods.
     `asked` is the number of requests asked for.
     """
 
--- a/bench/placing_fleet.py
+++ b/bench/placing_fleet.py
@@ -42,6 +42,7 @@
     choose_targets,
     merge_member,
 )
+from marlbend.steering.placement.method import PlacementMethod
 from marlbend.steering.steer import make_receiver, retry_unanswered_syn
 from marlbend.steering.upstreams import register_upstream
 from marlbend.wire.heartbeats import (
@@ -105,7 +106,7 @@
         'forward',
         'instances',
         'is_running',
-        'places_by_work',
+        'placement',
         'random',
         'reset',
         'seed',
@@ -120,14 +121,14 @@
         instance_count: int,
         upstream_names: tuple[str, ...],
         *,
-        places_by_work: bool,
+        placement: PlacementMethod,
     ) -> None:
         """Initialize before the start of the instances."""
         super().__init__()
         self.seed = seed
         self.random = Random(seed)
         self.specs = specs
-        self.places_by_work = places_by_work
+        self.placement = placement
         self.instances = [
             Instance(number) for number in range(1, instance_count + 1)
         ]
@@ -216,7 +217,7 @@
     callbacks = Callbacks(forward, reset, schedule_retry, _ignore)
     callbacks.gossip_now = _make_urgent_sender(fleet, instance)
     local_instance = LocalInstance(member.name, member.domain)
-    local_instance.places_by_work = fleet.places_by_work
+    local_instance.placement = fleet.placement
     local_instance.live_members = tuple(
         (each.member.name, each.member.domain) for each in fleet.instances
     )
--- a/bench/placing_loads.py
+++ b/bench/placing_loads.py
@@ -1,6 +1,6 @@
-"""Compare the two methods of placement under loads that are hard to place.
+"""Compare the methods of placement under loads that are hard to place.
 
-Both methods get the same arrivals, costs and faults; see
+All methods get the same arrivals, costs and faults; see
 `docs/design/placement.md` for the goals.  There are 30 instances and 60
 upstreams for 15 simulated seconds, and half as many of both for `scarce`, which
 would take two minutes otherwise: a choice among fewer upstreams is faster, and
@@ -43,6 +43,7 @@
 )
 from bench.placing_fleet import Fleet, restart_instances, start_fleet
 from marlbend.steering import RouteSpec
+from marlbend.steering.placement.method import PlacementMethod
 
 __all__ = (
     'LOAD_BY_NAME',
@@ -155,7 +156,7 @@
 
 
 class LoadReport(msgspec.Struct, frozen=True):
-    """Report the results of both methods for the same load.
+    """Report the results of each method for the same load.
 
     `over_target_share` is the requests whose cost alone exceeds their target:
     they miss it wherever they are placed.
@@ -168,7 +169,7 @@
 
 
 async def run_load(name: str, seed: int) -> LoadReport:
-    """Play a load with both methods."""
+    """Play a load with each method."""
     load = LOAD_BY_NAME[name]
     is_over_target = [
         request.cost_seconds > load.target_seconds
@@ -180,8 +181,8 @@
         seed,
         round(statistics.mean(is_over_target), 4),
         {
-            'requests': play_load(name, seed, places_by_work=False),
-            'work': play_load(name, seed, places_by_work=True),
+            method.value: play_load(name, seed, placement=method)
+            for method in PlacementMethod
         },
     )
 
@@ -190,13 +191,13 @@
     name: str,
     seed: int,
     *,
-    places_by_work: bool,
+    placement: PlacementMethod,
     seconds: float = SIMULATED_SECONDS,
 ) -> LoadFigures:
     """Play a load with one method."""
     load = LOAD_BY_NAME[name]
     sessions = list(draw_sessions(load, seed, seconds))
-    callers = _make_callers(load, seed, seconds, places_by_work=places_by_work)
+    callers = _make_callers(load, seed, seconds, placement=placement)
     callers.unsettled = sum(len(each.requests) for each in sessions)
     for session in sessions:
         ask_next(callers, session)
@@ -210,7 +211,7 @@
 
 
 def _make_callers(
-    load: Load, seed: int, seconds: float, *, places_by_work: bool
+    load: Load, seed: int, seconds: float, *, placement: PlacementMethod
 ) -> Callers:
     """Return the callers of a fleet that is started."""
     names = _list_names(load)
@@ -219,7 +220,7 @@
         tuple(route.spec for route in _list_routes(load)),
         round(INSTANCE_COUNT * load.size),
         names,
-        places_by_work=places_by_work,
+        placement=placement,
     )
     start_fleet(fleet)
     callers = Callers(
@@ -304,7 +305,7 @@
 def _draw_requests(
     random: Random, load: Load, route: CallerRoute, opened_at: float
 ) -> Iterator[CallerRequest]:
-    """Yield the requests of a flow, with the same pauses for both methods."""
+    """Yield the requests of a flow, with the same pauses for all methods."""
     planned_at = opened_at
     for _ in range(route.requests):
         cost = route.mean_seconds * _draw_factor(random) / _MEAN_FACTOR
--- a/marlbend/cli/explaining.py
+++ b/marlbend/cli/explaining.py
@@ -19,8 +19,9 @@
 _OK: Final = 200
 _NOT_FOUND: Final = 404
 _VERDICT_TEMPLATE: Final = (
-    '{route} to {service}, by {method}: {verdict} ({reason}); cost {cost_ms} '
-    'ms, target {target_ms} ms, allowed {allowed_ms} ms, limit {limit}'
+    '{route} to {service}, by {method}{setting}: {verdict} ({reason}); cost '
+    '{cost_ms} ms, target {target_ms} ms, allowed {allowed_ms} ms, '
+    'limit {limit}'
 )
 _CANDIDATE_TEMPLATE: Final = (
     '  {name} in {domain}: {expected_ms} ms = (work {work_ms} + idle '
@@ -37,7 +38,8 @@
     def lines(self) -> Iterator[str]:
         """Yield the report as lines of text."""
         fields = msgspec.structs.asdict(self.explanation)
-        yield _VERDICT_TEMPLATE.format(**fields)
+        setting = _format_setting(self.explanation)
+        yield _VERDICT_TEMPLATE.format(**fields, setting=setting)
         for candidate in self.explanation.candidates:
             yield _CANDIDATE_TEMPLATE.format(
                 **msgspec.structs.asdict(candidate),
@@ -96,6 +98,13 @@
     )
 
 
+def _format_setting(explanation: FlowExplanation) -> str:
+    """Return the setting in brackets if it is not the method in force."""
+    if explanation.placement in {'', explanation.method}:
+        return ''
+    return f' ({explanation.placement})'
+
+
 def _format_notes(candidate: CandidateStatus) -> str:
     cold = ', cold' if candidate.is_cold else ''
     return f'{cold}, in another domain' if candidate.is_remote else cold
--- a/marlbend/edge/decision_log.py
+++ b/marlbend/edge/decision_log.py
@@ -10,6 +10,7 @@
 from marlbend.platform.header import find_request_id
 from marlbend.steering.failure_detection import count_busy
 from marlbend.steering.packet import Packet
+from marlbend.steering.placement.method import keeps_estimates
 from marlbend.steering.placement.outstanding_work import total_work
 from marlbend.steering.state import Outcome, Steering
 from marlbend.steering.upstreams import Upstream
@@ -68,8 +69,8 @@
     It is empty for a flow that is opened or a request that is forwarded.
     """
     latest = steering.estimates.admission.latest
-    is_by_work = steering.local_instance.places_by_work
-    if outcome is Outcome.REFUSED_CROWD and is_by_work and latest:
+    is_refused = outcome is Outcome.REFUSED_CROWD
+    if is_refused and latest and keeps_estimates(steering):
         return latest.reason
     return _REASON_BY_OUTCOME.get(outcome, '')
 
@@ -125,7 +126,7 @@
         'version': steering.routes.version,
         'upstreams_age_ms': int(age * _MILLISECONDS_PER_SECOND),
     }
-    if steering.local_instance.places_by_work:
+    if keeps_estimates(steering):
         work_seconds = total_work(steering, upstream)
         fields['work_ms'] = int(work_seconds * _MILLISECONDS_PER_SECOND)
         fields['slowdown'] = round(upstream.work.slowdown, 2)
--- a/marlbend/edge/explaining.py
+++ b/marlbend/edge/explaining.py
@@ -24,6 +24,10 @@
     Candidate,
     expected_completion,
 )
+from marlbend.steering.placement.method import (
+    PlacementMethod,
+    places_by_work,
+)
 from marlbend.steering.placement.opening import (
     NO_UPSTREAM,
     make_admission_request,
@@ -83,7 +87,8 @@
     explanation = FlowExplanation(
         route=route.spec.name,
         service=service,
-        method='work' if steering.local_instance.places_by_work else 'requests',
+        method=_find_method(steering, service),
+        placement=steering.local_instance.placement.value,
         verdict=VerdictKind.REFUSE.value,
         reason=NO_UPSTREAM,
         cost_ms=round(cost_seconds * _MILLISECONDS, 1),
@@ -98,6 +103,13 @@
     )
 
 
+def _find_method(steering: Steering, service: str) -> str:
+    """Return the method in force for a service now."""
+    if places_by_work(steering, service):
+        return PlacementMethod.WORK.value
+    return PlacementMethod.REQUESTS.value
+
+
 def _add_verdict(
     steering: Steering,
     spec: RouteSpec,
--- a/marlbend/edge/peers.py
+++ b/marlbend/edge/peers.py
@@ -44,6 +44,7 @@
     describe_member,
     remove_expired_members,
 )
+from marlbend.steering.placement.method import keeps_estimates
 from marlbend.steering.placement.service_times import (
     describe_times,
     merge_times,
@@ -222,7 +223,7 @@
     steering = node.steering
     merge_upstream_updates(steering, heartbeat.members[0], heartbeat, now)
     merge_reopened_updates(node, heartbeat.reopened_flows, now)
-    if steering.local_instance.places_by_work:
+    if keeps_estimates(steering):
         times = steering.estimates.service_times
         merge_times(times, heartbeat.route_times, now)
 
@@ -324,7 +325,7 @@
         upstreams = tuple(updates_for_remote_domain(steering, domain, now))
     route_times = (
         tuple(describe_times(steering.estimates.service_times, now))
-        if in_full and steering.local_instance.places_by_work
+        if in_full and keeps_estimates(steering)
         else ()
     )
     return encode_heartbeat(
--- a/marlbend/edge/placement_metrics.py
+++ b/marlbend/edge/placement_metrics.py
@@ -1,9 +1,11 @@
-"""Report what placement by work knows and decided, as metrics."""
+"""Report the estimates and the decisions of placement, as metrics."""
 
 from collections.abc import Iterator
 from typing import Final
 
 from marlbend.steering.placement.admission import find_limit
+from marlbend.steering.placement.contention import is_in_contention
+from marlbend.steering.placement.method import keeps_estimates
 from marlbend.steering.placement.outstanding_work import total_work
 from marlbend.steering.placement.service_times import seconds_by_quantile
 from marlbend.steering.state import Steering
@@ -14,8 +16,8 @@
 
 
 def placement_lines(steering: Steering) -> Iterator[str]:
-    """Yield the metrics, none unless flows are placed by work."""
-    if not steering.local_instance.places_by_work:
+    """Yield the metrics, none unless estimates are kept."""
+    if not keeps_estimates(steering):
         return
     yield from _verdict_lines(steering)
     yield from _service_time_lines(steering)
@@ -45,8 +47,11 @@
 def _service_lines(steering: Steering) -> Iterator[str]:
     admission = steering.estimates.admission
     for service in admission.by_service:
+        labels = f'{{service="{service}"}}'
         limit = find_limit(admission, service, 0, steering.now)
-        yield f'marlbend_admission_limit{{service="{service}"}} {limit:.3f}'
+        is_contended = is_in_contention(admission, service, steering.now)
+        yield f'marlbend_admission_limit{labels} {limit:.3f}'
+        yield f'marlbend_contention{labels} {int(is_contended)}'
 
 
 def _upstream_lines(steering: Steering) -> Iterator[str]:
--- a/marlbend/edge/reload.py
+++ b/marlbend/edge/reload.py
@@ -23,6 +23,7 @@
 )
 from marlbend.platform.client import parse_url
 from marlbend.steering.budgets import make_budgets
+from marlbend.steering.placement.method import PlacementMethod
 from marlbend.steering.state import Steering
 from marlbend.topics.knowledge import Topic
 from marlbend.topics.reader import TopicWatcher
@@ -124,7 +125,9 @@
     steering: Steering, cookie_settings: CookieSettings
 ) -> None:
     """Limit reactions to trouble, and place flows, as the settings require."""
-    steering.local_instance.places_by_work = cookie_settings.placement == 'work'
+    steering.local_instance.placement = PlacementMethod(
+        cookie_settings.placement
+    )
     steering.local_instance.budgets = make_budgets(
         cookie_settings.link_megabits, cookie_settings.processor_share
     )
--- a/marlbend/edge/upstream_updates.py
+++ b/marlbend/edge/upstream_updates.py
@@ -12,6 +12,7 @@
 
 from marlbend.steering.failure_detection import count_busy, detect_partition
 from marlbend.steering.liveness import record_liveness
+from marlbend.steering.placement.method import keeps_estimates
 from marlbend.steering.placement.outlier_detection import (
     adopt_ejection,
     decay_counts,
@@ -204,9 +205,9 @@
 ) -> UpstreamUpdate:
     """Return an update with the work and the sender's own samples of speed.
 
-    One that does not place by work keeps the defaults.
+    One that keeps no estimates leaves the defaults.
     """
-    if not steering.local_instance.places_by_work:
+    if not keeps_estimates(steering):
         return update
     work_seconds = min(find_work(steering, upstream), MAX_WORK_SECONDS)
     slowdown, weight = describe_speed(upstream.work.speed, steering.now)
--- a/marlbend/options.py
+++ b/marlbend/options.py
@@ -99,7 +99,9 @@
     on reactions to trouble (`marlbend.steering.budgets`).
 
     `placement` is how new flows are placed and refused: by counts of `requests`
-    or by outstanding `work`; see `docs/design/placement.md`.
+    or by outstanding `work`; see `docs/design/placement.md`.  With `adaptive`,
+    each service is placed by work while it is in contention, and by counts
+    otherwise; see `docs/design/contention.md`.
     """
 
     fabric: EndpointText
@@ -113,7 +115,7 @@
     domain_out_milliseconds: Milliseconds = 5000
     link_megabits: Megabits = 100
     processor_share: ProcessorShare = 1
-    placement: Literal['requests', 'work'] = 'requests'
+    placement: Literal['requests', 'work', 'adaptive'] = 'requests'
 
 
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/marlbend/steering/flows.py
+++ b/marlbend/steering/flows.py
@@ -20,6 +20,7 @@
     is_unqueued,
     record_service_time,
 )
+from marlbend.steering.placement.method import keeps_estimates
 from marlbend.steering.placement.outlier_detection import (
     is_short,
     record_response,
@@ -75,7 +76,7 @@
 def expire_flows(steering: Steering) -> None:
     """Remove idle flows, and stop counting requests that got no response."""
     now = steering.now
-    if steering.local_instance.places_by_work:
+    if keeps_estimates(steering):
         record_idle_flows(steering)
         refresh_slowdowns(steering)
     expire_reopened(steering.reopened_flows, now)
@@ -231,7 +232,7 @@
 
 def _start_outcome(steering: Steering, flow: Flow) -> None:
     flow.is_unqueued = is_unqueued(flow.upstream, steering.now)
-    if steering.local_instance.places_by_work:
+    if keeps_estimates(steering):
         flow.pending_outcome = PendingOutcome(had_free_slot=flow.is_unqueued)
 
 
--- a/marlbend/steering/placement/__init__.py
+++ b/marlbend/steering/placement/__init__.py
@@ -5,7 +5,9 @@
 under overload.  By work, `opening` carries a SYN through `choice`, `admission`
 and `held_flows`; `service_times`, `speeds`, `outstanding_work`, `service_loads`
 and `responses` learn what they decide on, `completion` combines it, and
-`callers` shares what is left.  See `docs/design/placement.md`.
+`callers` shares what is left.  `method` tells which services are placed by
+work, and `contention` which are in contention.  See `docs/design/placement.md`
+and `docs/design/contention.md`.
 
 Nothing is imported here: `marlbend.steering.state` uses modules of this package
 that the others depend on.
--- a/marlbend/steering/placement/admission.py
+++ b/marlbend/steering/placement/admission.py
@@ -51,10 +51,13 @@
     'believes_free_slots',
     'decide',
     'find_limit',
+    'find_pressure',
+    'find_service',
     'is_limited',
     'record_served',
     'record_shed',
     'record_verdict',
+    'start_contention',
 )
 
 # The share of the target latency that a request may be expected to take.
@@ -117,13 +120,15 @@
     `pressure` is the negative logarithm of the admitted share of the lowest
     priority, plus the slack, as of `updated_at`.  `shed_at` is when a request
     was last shed, `disbelieved_at` when an upstream with a free slot last did
-    so, `contended_at` when a flow was last shed or refused.  `steps` is the
-    highest number of steps of priority seen, `target_seconds` the mean target.
+    so, `contended_at` when a flow was last shed or refused.  The service is in
+    contention until `contention_ends_at`.  `steps` is the highest number of
+    steps of priority seen, `target_seconds` the mean target.
     """
 
     __slots__ = (
         'caller_shares',
         'contended_at',
+        'contention_ends_at',
         'credit_by_steps',
         'disbelieved_at',
         'pressure',
@@ -140,6 +145,7 @@
         self.shed_at = -math.inf
         self.disbelieved_at = -math.inf
         self.contended_at = -math.inf
+        self.contention_ends_at = -math.inf
         self.steps = 0
         self.target_seconds: float = 0
         self.credit_by_steps: dict[int, float] = {}
@@ -239,7 +245,7 @@
 ) -> float:
     """Return the share of the flows of a priority that is admitted."""
     known = state.by_service.get(service, _UNKNOWN)
-    excess = _find_pressure(known, now) - PRESSURE_SLACK
+    excess = find_pressure(known, now) - PRESSURE_SLACK
     excess -= priority_steps * PRESSURE_PER_STEP
     return max(math.exp(-max(excess, 0)), MIN_LIMIT)
 
@@ -257,7 +263,7 @@
         record_admitted_route(state.route_activity, request.endpoint, now)
     if verdict.kind is VerdictKind.HOLD or not request.target_seconds:
         return
-    known = _find_service(state, request.service)
+    known = find_service(state, request.service)
     known.steps = max(known.steps, request.priority_steps)
     if not known.target_seconds:
         known.target_seconds = request.target_seconds
@@ -288,14 +294,14 @@
     `had_free_slot` is set if this instance knew of a free slot at the upstream,
     which shows that it does not know the whole load.
     """
-    known = _find_service(state, service)
-    _start_contention(known, now)
+    known = find_service(state, service)
     steps = known.steps if priority_steps is None else priority_steps
     highest = PRESSURE_SLACK + steps * PRESSURE_PER_STEP - math.log(MIN_LIMIT)
-    pressure = _find_pressure(known, now)
+    pressure = find_pressure(known, now)
     known.pressure = max(min(pressure + SHED_STEP, highest), pressure)
     known.updated_at = now
     known.shed_at = now
+    start_contention(known, now, is_evident=known.pressure > PRESSURE_SLACK)
     if had_free_slot and known.pressure > PRESSURE_SLACK:
         known.disbelieved_at = now
 
@@ -306,7 +312,7 @@
     """Raise the admitted share after a response that met its target."""
     known = state.by_service.get(service)
     if in_time and known is not None:
-        known.pressure = max(_find_pressure(known, now) - SERVED_STEP, 0)
+        known.pressure = max(find_pressure(known, now) - SERVED_STEP, 0)
         known.updated_at = now
 
 
@@ -385,7 +391,7 @@
 ) -> None:
     """Update the shares of the callers, which are kept only in contention."""
     if not is_admitted:
-        _start_contention(known, now)
+        start_contention(known, now, is_evident=True)
     if not _is_contended(known, now):
         return
     shares = known.caller_shares
@@ -398,17 +404,28 @@
         record_refused(shares, request.caller, now)
 
 
-def _start_contention(known: ServiceAdmission, now: float) -> None:
+def start_contention(
+    known: ServiceAdmission, now: float, *, is_evident: bool
+) -> None:
+    """Record that a flow was shed or refused.
+
+    The shares of the callers are kept from now on.  Contention begins only if
+    it `is_evident`: an upstream that fails sheds some requests before it is
+    ejected.  If it has begun, any such flow extends it.
+    """
     if not _is_contended(known, now):
         known.caller_shares = CallerShares()
     known.contended_at = now
+    if is_evident or now < known.contention_ends_at:
+        known.contention_ends_at = now + CONTENTION_SECONDS
 
 
 def _is_contended(known: ServiceAdmission, now: float) -> bool:
     return now - known.contended_at < CONTENTION_SECONDS
 
 
-def _find_pressure(known: ServiceAdmission, now: float) -> float:
+def find_pressure(known: ServiceAdmission, now: float) -> float:
+    """Return the pressure of a service now."""
     recovers_at = max(known.shed_at + RECOVERY_DELAY_SECONDS, known.updated_at)
     slow_seconds = max(min(now, recovers_at) - known.updated_at, 0)
     fast_seconds = max(now - recovers_at, 0)
@@ -418,7 +435,8 @@
     )
 
 
-def _find_service(state: AdmissionState, service: str) -> ServiceAdmission:
+def find_service(state: AdmissionState, service: str) -> ServiceAdmission:
+    """Return the state of a service, a new one if there is none."""
     known = state.by_service.get(service)
     if known is None:
         if len(state.by_service) >= MAX_SERVICES:
--- a/marlbend/steering/placement/choice.py
+++ b/marlbend/steering/placement/choice.py
@@ -4,14 +4,14 @@
 upstream in a remote failure domain is chosen only where the local ones are
 busier by a margin, since flows that stay inside a domain survive a partition.
 
-With `places_by_work`, the upstream with the earliest expected completion wins
-instead, for requests of unlike cost and upstreams of unlike speed.  All
-candidates are compared, not a random sample.  Instances do not all choose the
-same upstream, since each of them hears of other requests, while a sample often
-leaves out the idle upstreams.  This was decided by a load of 30 instances that
-use 0.9 of 60 upstreams, and hear of each other a quarter of the time: requests
-wait longer with samples of a quarter or half of the candidates.  Only where all
-hear of all others, and late, a sample sheds less.
+For a service that is placed by work, the upstream with the earliest expected
+completion wins instead, for requests of unlike cost and upstreams of unlike
+speed.  All candidates are compared, not a random sample.  Instances do not all
+choose the same upstream, since each of them hears of other requests, while a
+sample often leaves out the idle upstreams.  This was decided by a load of 30
+instances that use 0.9 of 60 upstreams, and hear of each other a quarter of the
+time: requests wait longer with samples of a quarter or half of the candidates.
+Only where all hear of all others, and late, a sample sheds less.
 """
 
 from collections.abc import Callable, Iterator
@@ -25,6 +25,7 @@
     find_idle_seconds,
     make_candidate,
 )
+from marlbend.steering.placement.method import places_by_work
 from marlbend.steering.placement.outlier_detection import exclude_ejected
 from marlbend.steering.placement.service_times import expected_seconds
 from marlbend.steering.placement.slow_start import (
@@ -70,7 +71,7 @@
     """
     usable = list_usable(steering, service)
     untried = [each for each in usable if each not in tried]
-    if steering.local_instance.places_by_work:
+    if places_by_work(steering, service):
         completion_of = _make_estimate(steering, service, endpoint)
         return _find_earliest(steering, untried, completion_of) or min(
             usable, key=completion_of, default=None
@@ -94,7 +95,7 @@
         if now < each.outlier_state.ejected_until
         and not is_suspected(steering, each)
     ]
-    if steering.local_instance.places_by_work:
+    if places_by_work(steering, service):
         completion_of = _make_estimate(steering, service, endpoint)
         return min(ejected, key=completion_of, default=None)
     return _find_least_loaded(steering, ejected)
--- a/marlbend/steering/placement/outlier_detection.py
+++ b/marlbend/steering/placement/outlier_detection.py
@@ -16,6 +16,7 @@
 from typing import Final
 
 from marlbend.steering.medians import STEP, update_median
+from marlbend.steering.placement.method import places_by_work
 from marlbend.steering.state import ResponseSize, Steering
 from marlbend.steering.upstreams import Upstream
 
@@ -77,7 +78,7 @@
         endpoint, ResponseSize()
     )
     looks_failed = is_short(steering, endpoint, size)
-    is_slow = looks_failed and steering.local_instance.places_by_work
+    is_slow = looks_failed and places_by_work(steering, upstream.entry.service)
     _update_median(estimate, size, SHORT_STEP if is_slow else STEP)
     decay_counts(upstream, steering.now)
     upstream.outlier_state.responses += 1
--- a/marlbend/steering/placement/outstanding_work.py
+++ b/marlbend/steering/placement/outstanding_work.py
@@ -3,7 +3,7 @@
 Designed for requests of unlike cost, which a count of requests hides, and for
 many instances that know of each other's requests from heartbeats only.
 
-Requests are tracked only while flows are placed by work, and up to a number for
+Requests are tracked only while estimates are kept, and up to a number for
 each upstream.  The setting may change at run time, too, so a flow may be busy
 without a tracked request; it counts as a whole request of its service.
 """
@@ -12,6 +12,7 @@
 from typing import Final
 
 from marlbend.steering.failure_detection import count_busy
+from marlbend.steering.placement.method import keeps_estimates
 from marlbend.steering.placement.service_loads import (
     DEFAULT_IDLE_SHARE,
     ServiceLoad,
@@ -117,9 +118,7 @@
     requests = flow.upstream.work.requests
     if request is not None:
         request.started_at = min(request.started_at, started_at)
-    elif (
-        steering.local_instance.places_by_work and len(requests) < MAX_REQUESTS
-    ):
+    elif keeps_estimates(steering) and len(requests) < MAX_REQUESTS:
         request = Request(endpoint, started_at)
         request.follows_idle = not flow.is_before_data
         flow.request = request
--- a/marlbend/steering/state.py
+++ b/marlbend/steering/state.py
@@ -11,6 +11,7 @@
 from marlbend.steering.packet import Packet
 from marlbend.steering.placement.admission import AdmissionState
 from marlbend.steering.placement.held_flows import HeldFlows
+from marlbend.steering.placement.method import PlacementMethod
 from marlbend.steering.placement.service_loads import ServiceLoad
 from marlbend.steering.placement.service_times import ServiceTimes
 from marlbend.steering.reopened_flows import ReopenedFlows
@@ -109,8 +110,8 @@
     the oldest unacknowledged data was seen, zero if there is none, and
     `retransmissions` counts how often it was retransmitted.  `is_before_data`
     is set until the first data; until then the sequence numbers are not valid.
-    `request` is the request in progress, `None` also if it began while flows
-    were not placed by work.  `response_start` is the sequence number at which
+    `request` is the request in progress, `None` also if it began while
+    estimates were not kept.  `response_start` is the sequence number at which
     the response to the latest request starts.  `is_unqueued` is set if the
     upstream served that request without queueing it.  `pending_outcome` is what
     has to be recorded of the latest request, `None` if nothing is left.
@@ -303,9 +304,8 @@
     most recently contradicted this instance's suspicion of an upstream.
     `budgets` limits its reactions to trouble; whoever knows its link and its
     processor share replaces it.  `observed_at` is when the clock was last read,
-    and `resumed_at` when the process went on after a pause.  With
-    `places_by_work`, new flows are placed and refused by outstanding work
-    instead of by counts of requests.
+    and `resumed_at` when the process went on after a pause.  `placement` is
+    the method by which new flows are placed and refused.
     """
 
     __slots__ = (
@@ -315,7 +315,7 @@
         'live_members',
         'name',
         'observed_at',
-        'places_by_work',
+        'placement',
         'resumed_at',
     )
 
@@ -330,7 +330,7 @@
         )
         self.observed_at = float('inf')
         self.resumed_at = float('-inf')
-        self.places_by_work = False
+        self.placement = PlacementMethod.REQUESTS
 
 
 def observe_time(local_instance: LocalInstance, now: float) -> None:
--- a/marlbend/steering/steer.py
+++ b/marlbend/steering/steer.py
@@ -34,8 +34,10 @@
 from marlbend.steering.packet import Packet
 from marlbend.steering.placement.admission import VerdictKind
 from marlbend.steering.placement.choice import choose_ejected, choose_upstream
+from marlbend.steering.placement.contention import record_refusal_by_counts
 from marlbend.steering.placement.held_flows import release, take_due
 from marlbend.steering.placement.load_shedding import is_overloaded
+from marlbend.steering.placement.method import keeps_estimates, places_by_work
 from marlbend.steering.placement.opening import (
     HOLD_CHECK_SECONDS,
     NO_UPSTREAM,
@@ -145,12 +147,21 @@
         _handle_retransmitted_syn(steering, flow, packet)
         return
     remove_flow(steering, packet.flow_key)
-    service = pick_service(route.spec, packet.flow_key)
-    if steering.local_instance.places_by_work:
-        if packet.flow_key not in steering.estimates.held_flows.by_key:
-            placement = place_flow(steering, packet, route.spec, service)
-            _carry_out(steering, packet, placement)
+    if packet.flow_key in steering.estimates.held_flows.by_key:
+        # `_check_held_flow` decides on it, also if the method has changed.
         return
+    service = pick_service(route.spec, packet.flow_key)
+    if places_by_work(steering, service):
+        placement = place_flow(steering, packet, route.spec, service)
+        _carry_out(steering, packet, placement)
+    else:
+        _open_by_counts(steering, packet, route, service)
+
+
+def _open_by_counts(
+    steering: Steering, packet: Packet, route: Route, service: str
+) -> None:
+    """Open or refuse a flow by counts of requests."""
     upstream = choose_upstream(steering, service, [], packet.endpoint)
     if upstream is None:
         _reset_without_upstream(steering, packet, Outcome.REFUSED_NO_UPSTREAM)
@@ -196,6 +207,11 @@
         _reset_without_upstream(steering, packet, Outcome.REFUSED_NO_ROUTE)
         return
     service = pick_service(route.spec, key)
+    if not places_by_work(steering, service):
+        # Its contention has ended, or the setting has changed.
+        release(held, key)
+        _open_by_counts(steering, packet, route, service)
+        return
     placement = place_held_flow(steering, packet, route.spec, service)
     if placement is None:
         _schedule_held_check(steering, key)
@@ -215,6 +231,10 @@
     if route.spec.repeatable:
         ejected = choose_ejected(steering, service, packet.endpoint)
     if ejected is None or is_overloaded(steering, route.spec, ejected):
+        if keeps_estimates(steering):
+            record_refusal_by_counts(
+                steering.estimates.admission, service, steering.now
+            )
         _reset_without_upstream(steering, packet, Outcome.REFUSED_CROWD)
     else:
         _start_flow(steering, packet, ejected)
--- a/marlbend/test/test_completion.py
+++ b/marlbend/test/test_completion.py
@@ -7,6 +7,7 @@
 
 from marlbend.steering.failure_detection import count_busy
 from marlbend.steering.placement import choice, completion
+from marlbend.steering.placement.method import PlacementMethod
 from marlbend.steering.placement.speeds import record_speed
 from marlbend.steering.reports import PeerReport, add_report
 from marlbend.steering.state import Steering
@@ -38,7 +39,7 @@
 
     def start(self, domain: str) -> None:
         super().start(domain)
-        self.steering.local_instance.places_by_work = True
+        self.steering.local_instance.placement = PlacementMethod.WORK
 
 
 class Inputs:
@@ -107,7 +108,7 @@
     pool.by_name['a1'].busy = 1
     pool.by_name['a2'].busy = 2
     assert set(inputs.count_chosen()) == {'a2'}
-    inputs.driver.steering.local_instance.places_by_work = False
+    inputs.driver.steering.local_instance.placement = PlacementMethod.REQUESTS
     assert set(inputs.count_chosen()) == {'a1'}
 
 
--- a/marlbend/test/test_opening.py
+++ b/marlbend/test/test_opening.py
@@ -6,6 +6,7 @@
 from marlbend.steering.placement import opening
 from marlbend.steering.placement.admission import record_shed
 from marlbend.steering.placement.held_flows import MAX_HELD_FLOWS
+from marlbend.steering.placement.method import PlacementMethod
 from marlbend.steering.placement.service_times import (
     MIN_REQUESTS,
     record_service_time,
@@ -16,14 +17,15 @@
 
 COST = 0.05
 SLOTS = 2
+WORK = PlacementMethod.WORK
 
 
 class Overload(SteeringDriver):
     """Hold one upstream of two slots, and routes of two priorities."""
 
-    def __init__(self, *, places_by_work: bool = True) -> None:
+    def __init__(self, placement: PlacementMethod = WORK) -> None:
         super().__init__()
-        self.steering.local_instance.places_by_work = places_by_work
+        self.steering.local_instance.placement = placement
         for name, priority in (('web', '2'), ('order', '1')):
             self.route(name, 'catalog')
             self.target(name, '0.5', priority)
@@ -186,7 +188,7 @@
 
 
 def test_setting_off_refuses_by_counts_as_before() -> None:
-    driver = Overload(places_by_work=False)
+    driver = Overload(PlacementMethod.REQUESTS)
     driver.load(1000)
     driver.open('f1', 'web')
     assert driver.sent == ['a1']
--- a/marlbend/test/test_outstanding_work.py
+++ b/marlbend/test/test_outstanding_work.py
@@ -17,6 +17,7 @@
 from marlbend.steering import flows
 from marlbend.steering.placement import outstanding_work
 from marlbend.steering.placement.choice import IDLE_FLOW_LOAD
+from marlbend.steering.placement.method import PlacementMethod
 from marlbend.steering.placement.outstanding_work import (
     MAX_REQUESTS,
     find_idle_share,
@@ -35,6 +36,7 @@
 
 COST_BY_ENDPOINT = MappingProxyType({b'slow..': 0.4, b'fast..': 0.004})
 FIELDS_OF_FORMER_RELEASE = 8
+REQUESTS, WORK, _ = PlacementMethod
 
 
 class Instance(SteeringDriver):
@@ -42,7 +44,7 @@
 
     def __init__(self, name: str = 'me', domain: str = 'a') -> None:
         super().__init__(domain)
-        self.steering.local_instance.places_by_work = True
+        self.steering.local_instance.placement = WORK
         self.update = MemberUpdate(
             name, ('127.0.0.1', 6071), domain, 0, can_read=True
         )
@@ -54,7 +56,8 @@
     def switch(self) -> None:
         """Change the setting, as a reload does."""
         local_instance = self.steering.local_instance
-        local_instance.places_by_work = not local_instance.places_by_work
+        is_by_work = local_instance.placement is WORK
+        local_instance.placement = REQUESTS if is_by_work else WORK
 
     def request(self, flow: str, route: str = 'slow') -> Upstream:
         """Open a flow and send a request; return its upstream."""
--- a/marlbend/test/test_placing_loads.py
+++ b/marlbend/test/test_placing_loads.py
@@ -14,13 +14,15 @@
     make_slowdown,
     play_load,
 )
+from marlbend.steering.placement.method import PlacementMethod
 
 SECONDS = 3.0
 FULL_SECONDS = 15.0
+REQUESTS, WORK, ADAPTIVE = PlacementMethod
 
 
-def play(name: str, *, places_by_work: bool = False) -> LoadFigures:
-    figures = play_load(name, 7, places_by_work=places_by_work, seconds=SECONDS)
+def play(name: str, placement: PlacementMethod = REQUESTS) -> LoadFigures:
+    figures = play_load(name, 7, placement=placement, seconds=SECONDS)
     return msgspec.structs.replace(figures, choice_us=0)
 
 
@@ -38,16 +40,16 @@
 
 
 @pytest.mark.parametrize('name', ['scarce', 'restart'])
-@pytest.mark.parametrize('places_by_work', [False, True])
+@pytest.mark.parametrize('placement', PlacementMethod)
 def test_no_request_is_lost_or_counted_twice(
-    name: str, *, places_by_work: bool
+    name: str, placement: PlacementMethod
 ) -> None:
     asked = sum(
         request.planned_at >= UNMEASURED_SECONDS
         for session in draw_sessions(LOAD_BY_NAME[name], 7, SECONDS)
         for request in session.requests
     )
-    figures = play(name, places_by_work=places_by_work)
+    figures = play(name, placement)
     count_by_outcome = figures.count_by_outcome
     assert sum(count_by_outcome.values()) == asked
     served = count_by_outcome['in_time'] + count_by_outcome.get('late', 0)
@@ -106,15 +108,28 @@
 
 
 def test_restart_leaves_no_estimates_behind() -> None:
-    fleet = Fleet(1, (), 3, tuple(list_upstream_names()), places_by_work=True)
+    fleet = Fleet(1, (), 3, tuple(list_upstream_names()), placement=WORK)
     start_fleet(fleet)
     before = [each.steering for each in fleet.instances]
     restart_instances(fleet)
     for instance, former in zip(fleet.instances, before, strict=True):
         assert instance.steering.estimates is not former.estimates
         assert instance.steering.pool is not former.pool
-        assert instance.steering.local_instance.places_by_work
+        assert instance.steering.local_instance.placement is WORK
 
 
 def test_open_flows_go_on_after_a_restart() -> None:
     assert play('restart').served_share == 1
+
+
+def test_adaptive_fleet_without_contention_places_by_counts() -> None:
+    """Kept estimates, and heartbeats with them, would change the choices."""
+    assert play('wave', ADAPTIVE) == play('wave')
+
+
+def test_adaptive_fleet_in_contention_prefers_the_higher_priority() -> None:
+    """By counts, both priorities are refused alike once upstreams shed."""
+    adaptive = play('scarce', ADAPTIVE)
+    refused = adaptive.refused_share_by_priority or {}
+    refused_by_counts = play('scarce').refused_share_by_priority or {}
+    assert refused[1] < refused_by_counts[1] / 2
--- a/marlbend/test/test_service_times.py
+++ b/marlbend/test/test_service_times.py
@@ -7,6 +7,7 @@
 import pytest
 
 from marlbend.edge.peers import receive_heartbeat
+from marlbend.steering.placement.method import PlacementMethod
 from marlbend.steering.placement.service_times import (
     DEFAULT_SERVICE_SECONDS,
     MAX_ROUTES,
@@ -51,6 +52,7 @@
 # Slowdowns that placement reacts to, and that it hardly notices.
 SLOW = 1.8
 FAST = 1.2
+REQUESTS, WORK, ADAPTIVE = PlacementMethod
 
 
 def make_times(*samples: float, now: float = START) -> ServiceTimes:
@@ -168,14 +170,12 @@
     assert expected_seconds(times, ROUTE) < 4
 
 
-def restart(
-    *, old_by_work: bool, new_by_work: bool, is_former: bool = False
-) -> ServiceTimes:
+def restart(*methods: PlacementMethod, is_former: bool = False) -> ServiceTimes:
     """Let an instance start, and get the times of another one in a reply."""
     peers = Peers()
     old, new = peers.add('n-1'), peers.add('n-2')
-    old.driver.steering.local_instance.places_by_work = old_by_work
-    new.driver.steering.local_instance.places_by_work = new_by_work
+    for peer, method in zip((old, new), methods, strict=True):
+        peer.driver.steering.local_instance.placement = method
     estimates = old.driver.steering.estimates
     estimates.service_times = make_times(*draw_heavy_tail(500))
     if is_former:
@@ -198,10 +198,11 @@
     return name in peer.node.gossip.members.by_name
 
 
-def test_estimates_survive_a_restart() -> None:
+@pytest.mark.parametrize('method', [WORK, ADAPTIVE])
+def test_estimates_survive_a_restart(method: PlacementMethod) -> None:
     """An instance that starts would count each request alike."""
     before = make_times(*draw_heavy_tail(500))
-    after = restart(old_by_work=True, new_by_work=True)
+    after = restart(method, method)
     for age in (0, 0.03, 0.12):
         assert remaining_seconds(after, ROUTE, age) == pytest.approx(
             remaining_seconds(before, ROUTE, age), rel=0.1
@@ -209,9 +210,9 @@
 
 
 def test_other_deployments_and_the_former_release_send_no_times() -> None:
-    assert not restart(old_by_work=False, new_by_work=True).by_endpoint
-    assert not restart(old_by_work=True, new_by_work=False).by_endpoint
-    former = restart(old_by_work=True, new_by_work=True, is_former=True)
+    assert not restart(REQUESTS, WORK).by_endpoint
+    assert not restart(WORK, REQUESTS).by_endpoint
+    former = restart(WORK, WORK, is_former=True)
     assert not former.by_endpoint
 
 
@@ -225,9 +226,9 @@
     driver.send(flow)
 
 
-def make_driver(*, places_by_work: bool = True) -> tuple[SteeringDriver, Speed]:
+def make_driver(method: PlacementMethod = WORK) -> tuple[SteeringDriver, Speed]:
     driver = SteeringDriver()
-    driver.steering.local_instance.places_by_work = places_by_work
+    driver.steering.local_instance.placement = method
     driver.route('web', 'catalog')
     driver.upstream('a1', 'catalog', 'a')
     driver.open('f1', 'web')
@@ -257,7 +258,7 @@
 
 
 def test_nothing_is_recorded_without_placement_by_work() -> None:
-    driver, speed = make_driver(places_by_work=False)
+    driver, speed = make_driver(REQUESTS)
     assert not driver.steering.estimates.service_times.by_endpoint
     assert not speed.weight
 
--- a/marlbend/wire/status.py
+++ b/marlbend/wire/status.py
@@ -74,8 +74,10 @@
 
     `candidates` starts with the best one.  `limit` is the share of the flows of
     this priority that is admitted, and `allowed_ms` how long a request may be
-    expected to take.  The verdict is that of placement by work, also while the
-    `method` in use is another.
+    expected to take.  `method` is the one in force for the service, `requests`
+    or `work`, and `placement` the setting, which instances of earlier releases
+    do not report.  The verdict is that of placement by work, also while the
+    method in force is another.
     """
 
     route: str
@@ -88,6 +90,7 @@
     candidates: tuple[CandidateStatus, ...]
     limit: float = 1
     allowed_ms: float = 0
+    placement: str = ''
 
 
 class ControlStatus(msgspec.Struct, frozen=True):
