Log when contention of a service begins and ends

Cause: with `adaptive` the method of a service changes by itself, and a log did not show when.

Change: E612 and E613, with the pressure and the limit, from maintenance, so within half a second; also with `work`. The functions that log changes are called through one closure, which holds what was logged.

--- a/marlbend/edge/maintenance.py
+++ b/marlbend/edge/maintenance.py
@@ -3,12 +3,14 @@
 Twice a second it copies the confirmation times and the live members from the
 gossip state into the steering state, which therefore has them up to half a
 second late.  It also expires idle flows, ends upstreams that stayed missing,
-restores failure domains that have returned, and logs new partitions and
-ejections.  Now and then it logs what was sent to other instances.
+restores failure domains that have returned, and logs new partitions, ejections
+and changes of contention.  Now and then it logs what was sent to other
+instances.
 """
 
 import asyncio
 import itertools
+from collections.abc import Callable
 from typing import Final
 
 from marlbend.clock import steady_seconds
@@ -18,12 +20,19 @@
 from marlbend.steering import Steering
 from marlbend.steering.flows import expire_flows
 from marlbend.steering.gossip import list_live_members
+from marlbend.steering.placement.admission import (
+    ServiceAdmission,
+    find_limit,
+    find_pressure,
+)
+from marlbend.steering.placement.contention import list_contended
+from marlbend.steering.placement.method import keeps_estimates
 from marlbend.steering.upstream_expiry import ENDED_SECONDS, expire_upstreams
 from marlbend.steering.upstreams_restored import keep_domain_cold
 from marlbend.topics.contents import register_kept_entries
 from marlbend.topics.knowledge import Topic
 
-__all__ = ('restore_domains', 'run_maintenance')
+__all__ = ('make_change_logger', 'restore_domains', 'run_maintenance')
 
 MAINTENANCE_INTERVAL_SECONDS: Final = 0.5
 CONTROL_LOG_ROUNDS: Final = 20
@@ -33,16 +42,14 @@
     """Run maintenance periodically, until cancelled."""
     steering = node.steering
     gossip = node.gossip
-    logged_partitions: set[str] = set()
-    logged_ejections: dict[str, float] = {}
+    log_changes = make_change_logger(steering)
     logged_bytes = dict(node.traffic.bytes_by_cause)
     for round_number in itertools.count(1):
         await asyncio.sleep(MAINTENANCE_INTERVAL_SECONDS)
         steering.now = steady_seconds()
         if not round_number % CONTROL_LOG_ROUNDS:
             _log_control_traffic(node.traffic, logged_bytes)
-        _log_partitions(steering, logged_partitions)
-        _log_ejections(steering, logged_ejections)
+        log_changes()
         steering.upstreams_confirmed_at = gossip.confirmed_at_by_topic[
             Topic.UPSTREAMS
         ]
@@ -66,6 +73,20 @@
             emit(Event.UPSTREAM_ENDED, upstream=ended.name, reason='missing')
 
 
+def make_change_logger(steering: Steering) -> Callable[[], None]:
+    """Return a function that logs what has changed since its last call."""
+    logged_partitions: set[str] = set()
+    logged_ejections: dict[str, float] = {}
+    logged_contended: set[str] = set()
+
+    def log_changes() -> None:
+        _log_partitions(steering, logged_partitions)
+        _log_ejections(steering, logged_ejections)
+        _log_contention(steering, logged_contended)
+
+    return log_changes
+
+
 def _log_control_traffic(
     traffic: ControlTraffic, logged_bytes: dict[Cause, int]
 ) -> None:
@@ -108,6 +129,32 @@
     logged.update(steering.partition_by_domain)
 
 
+def _log_contention(steering: Steering, logged: set[str]) -> None:
+    """Log the begin and the end of contention of each service once.
+
+    `logged` holds the services whose contention was logged and has not ended.
+    """
+    admission = steering.estimates.admission
+    contended = set(
+        list_contended(admission, steering.now)
+        if keeps_estimates(steering)
+        else ()
+    )
+    for service in sorted(logged ^ contended):
+        known = admission.by_service.get(service) or ServiceAdmission()
+        limit = find_limit(admission, service, 0, steering.now)
+        emit(
+            Event.CONTENTION_STARTED
+            if service in contended
+            else Event.CONTENTION_ENDED,
+            service=service,
+            pressure=round(find_pressure(known, steering.now), 2),
+            limit=round(limit, 3),
+        )
+    logged.clear()
+    logged.update(contended)
+
+
 def restore_domains(steering: Steering) -> None:
     """Restore each domain whose return is older than the list of upstreams.
 
--- a/marlbend/events.py
+++ b/marlbend/events.py
@@ -145,6 +145,18 @@
         logging.INFO,
         'flow {flow} to {upstream} reset: {reason}',
     )
+    CONTENTION_STARTED = (
+        612,
+        logging.WARNING,
+        'service {service} is in contention: pressure {pressure}, limit '
+        '{limit}',
+    )
+    CONTENTION_ENDED = (
+        613,
+        logging.INFO,
+        'contention of service {service} ended: pressure {pressure}, limit '
+        '{limit}',
+    )
     PARTITION_DETECTED = (
         230,
         logging.WARNING,
