--- a/marlbend/steering/placement/outlier_detection.py
+++ b/marlbend/steering/placement/outlier_detection.py
@@ -17,6 +17,7 @@
 
 from marlbend.steering.failure_detection import is_suspected
 from marlbend.steering.medians import STEP, update_median
+from marlbend.steering.placement.method import places_by_work
 from marlbend.steering.state import ResponseSize, Steering
 from marlbend.steering.upstreams import Upstream
 
@@ -78,7 +79,7 @@
         endpoint, ResponseSize()
     )
     looks_failed = is_short(steering, endpoint, size)
-    is_slow = looks_failed and steering.local_instance.places_by_work
+    is_slow = looks_failed and places_by_work(steering, upstream.entry.service)
     _update_median(estimate, size, SHORT_STEP if is_slow else STEP)
     decay_counts(upstream, steering.now)
     upstream.outlier_state.responses += 1
