Carry the pressures of services in contention in heartbeats

Each instance follows only what upstreams shed of its own flows, so a limit takes effect late, and not alike in all failure domains. Heartbeat.pressures, at the end, holds at most 8 services with their pressure in hundredths and the age of the latest shed response. The previous release ignores the field, and its heartbeats are read with an empty one; nothing uses it yet.

test_malformed_reports_are_rejected put its reopened flows into the last field, which has been route_times since that field was added, so that it no longer tested them. It now finds the field by name, and checks that the heartbeat is accepted without the malformed report.

--- a/bench/fuzz.py
+++ b/bench/fuzz.py
@@ -34,6 +34,7 @@
 from marlbend.wire.heartbeats import (
     Heartbeat,
     MemberUpdate,
+    PressureUpdate,
     ReopenedFlowUpdate,
     RouteTimesUpdate,
     TopicChanges,
@@ -166,6 +167,7 @@
             changes=(TopicChanges(1, 4, 5, b'\x80'),),
             reopened_flows=(ReopenedFlowUpdate(FLOW_KEY, 7, 5),),
             route_times=(RouteTimesUpdate(FLOW_KEY[6:], (0, 127, 90, 1)),),
+            pressures=(PressureUpdate('catalog', 7, 5),),
         )
     )
 
--- a/marlbend/test/test_reopened_flows.py
+++ b/marlbend/test/test_reopened_flows.py
@@ -286,7 +286,8 @@
 def test_malformed_reports_are_rejected(update: tuple[object, ...]) -> None:
     fields = list(msgspec.to_builtins(Heartbeat(())))
     fields[0] = [['n-1', ['10.0.0.1', 1], 'a', 0, True]]
-    fields[-1] = [update]
+    assert decode_heartbeat(msgspec.msgpack.encode(fields)) is not None
+    fields[Heartbeat.__struct_fields__.index('reopened_flows')] = [update]
     assert decode_heartbeat(msgspec.msgpack.encode(fields)) is None
 
 
--- a/marlbend/wire/heartbeats.py
+++ b/marlbend/wire/heartbeats.py
@@ -9,9 +9,12 @@
 import msgspec
 
 __all__ = (
+    'MAX_PRESSURE',
+    'MAX_PRESSURES',
     'Heartbeat',
     'MemberLastSeen',
     'MemberUpdate',
+    'PressureUpdate',
     'ReopenedFlowUpdate',
     'RouteTimesUpdate',
     'TopicChanges',
@@ -28,6 +31,10 @@
 FLOW_KEY_BYTES: Final = 12
 ENDPOINT_BYTES: Final = 6
 MAX_BUCKETS: Final = 24
+# How many services a heartbeat reports on, and the highest pressure of one, in
+# hundredths.
+MAX_PRESSURES: Final = 8
+MAX_PRESSURE: Final = 10_000
 
 
 _Age = Annotated[int, msgspec.Meta(ge=0)]
@@ -174,6 +181,19 @@
     counts: Annotated[tuple[_Count, ...], msgspec.Meta(max_length=MAX_BUCKETS)]
 
 
+@final
+class PressureUpdate(msgspec.Struct, array_like=True, frozen=True):
+    """Report the pressure of a service in contention, in hundredths.
+
+    `age` is that of the latest shed response that the pressure is based on, of
+    the sender's flows or reported to it.
+    """
+
+    service: str
+    pressure: Annotated[int, msgspec.Meta(ge=0, le=MAX_PRESSURE)]
+    age: _Age
+
+
 @final
 class Heartbeat(msgspec.Struct, array_like=True, frozen=True):
     """Carry the gossip of one instance to another.
@@ -188,7 +208,9 @@
     return. `changes` holds recent changes, for instances that have the revision
     before them.  `reopened_flows` holds flows whose SYN went to several
     upstreams, and `route_times`, in replies in full only, the service times of
-    routes; instances of former releases neither send nor read them.
+    routes; instances of former releases neither send nor read them.  Nor do
+    those of the previous release know `pressures`, which holds the services in
+    contention with the highest pressure first.
     """
 
     members: tuple[MemberUpdate, ...]
@@ -200,6 +222,9 @@
     last_seen: tuple[MemberLastSeen, ...] = ()
     reopened_flows: tuple[ReopenedFlowUpdate, ...] = ()
     route_times: tuple[RouteTimesUpdate, ...] = ()
+    pressures: Annotated[
+        tuple[PressureUpdate, ...], msgspec.Meta(max_length=MAX_PRESSURES)
+    ] = ()
 
 
 _ENCODER = msgspec.msgpack.Encoder()
