Let all instances agree on the limit of a service in contention

An instance limited flows only after it saw several shed responses of its own, and one in a failure domain with more demand saw more of them and admitted a smaller share. Instances that place by work now report the pressure of each service in contention in their periodic heartbeats and replies, and move their own pressure halfway towards each reported one. The contention time and the start of recovery follow the latest shed response in the fleet.

An age of more than 1 s is ignored. The receiver adds 50 ms to it, since a response would otherwise look younger with each instance that passes it on.

The class Overload gets two methods that its subclass replaces; its random numbers are the same.

--- a/marlbend/edge/peers.py
+++ b/marlbend/edge/peers.py
@@ -13,6 +13,7 @@
 
 from marlbend.clock import steady_seconds
 from marlbend.edge.node import Address, GossipNode
+from marlbend.edge.pressure_updates import list_pressures, merge_pressures
 from marlbend.edge.reopened_updates import (
     MAX_UPDATES,
     MAX_UPDATES_IN_FULL,
@@ -222,6 +223,7 @@
     steering = node.steering
     merge_upstream_updates(steering, heartbeat.members[0], heartbeat, now)
     merge_reopened_updates(node, heartbeat.reopened_flows, now)
+    merge_pressures(steering, heartbeat.pressures, now)
     if steering.local_instance.places_by_work:
         times = steering.estimates.service_times
         merge_times(times, heartbeat.route_times, now)
@@ -331,6 +333,7 @@
         msgspec.structs.replace(
             heartbeat,
             route_times=route_times,
+            pressures=list_pressures(steering, now),
             upstreams=upstreams,
             reply_requested=reply_requested,
             reopened_flows=tuple(
--- a/marlbend/steering/placement/admission.py
+++ b/marlbend/steering/placement/admission.py
@@ -3,9 +3,10 @@
 Designed for more requests than the upstreams can serve in time, on many
 instances that know only a part of the load.  Each instance follows what the
 upstreams shed of its own flows, so that the sum over all instances fits even if
-none receives a heartbeat: each shed response lowers the share of flows that are
-admitted, each response in time and each second raises it.  The lowest priority
-has the whole reduction before the next one has any.
+none receives a heartbeat, and agrees with those whose heartbeats it receives
+(`marlbend.steering.placement.pressures`): each shed response lowers the share
+of flows that are admitted, each response in time and each second raises it.
+The lowest priority has the whole reduction before the next one has any.
 
 An expected wait is no measure of the sum: an upstream with a short queue sheds
 long before a request would miss a target of some hundred milliseconds.  So the
@@ -25,6 +26,12 @@
     was_refused,
 )
 from marlbend.steering.placement.held_flows import find_deadline
+from marlbend.steering.placement.limits import (
+    PRESSURE_SLACK,
+    find_highest_pressure,
+    limit_at,
+    pressure_left,
+)
 from marlbend.steering.placement.route_activity import (
     RouteActivity,
     record_admitted_route,
@@ -50,7 +57,10 @@
     'allowed_wait',
     'believes_free_slots',
     'decide',
+    'extend_contention',
     'find_limit',
+    'find_pressure',
+    'is_contended',
     'is_limited',
     'record_served',
     'record_shed',
@@ -64,25 +74,10 @@
 # Changes of the logarithm of the admitted share with each response that was
 # shed, and with each one that was served in time.  At 1.6 times the capacity,
 # 5% of all tries are shed on 30 instances, so a caller with three tries rarely
-# fails for that.
+# fails for that.  A larger step refuses flows that would be served, also where
+# all instances agree on the pressure.
 SHED_STEP: Final = 0.2
 SERVED_STEP: Final = 0.02
-# The pressure halves in the first time while upstreams shed, and in the second
-# one after some time without.  Of 88 instances, each sees few responses of a
-# small service: with a first time of 2 s it forgets too much between them, and
-# 20% instead of 12% of the tries are shed.
-PRESSURE_HALF_LIFE_SECONDS: Final = 5.0
-RECOVERY_HALF_LIFE_SECONDS: Final = 1.0
-RECOVERY_DELAY_SECONDS: Final = 2.0
-# Up to this pressure nothing is refused: an upstream that fails has three short
-# responses before it is ejected, and these look shed.
-PRESSURE_SLACK: Final = 0.7
-# A priority is limited once the pressure is higher by this much than where the
-# one below began to be limited, whose share is then at its minimum.
-PRESSURE_PER_STEP: Final = 5.5
-# With 0.02 and three tries, five times the capacity still brings a sixth of it
-# in flows of the lowest priority while higher ones are refused.
-MIN_LIMIT: Final = 0.005
 # A free slot known to this instance is not believed for this long after an
 # upstream with a free slot shed a request: others fill what it can't see.  With
 # 0.5 s, half of the flows of the lowest priority were admitted by free slots
@@ -116,9 +111,10 @@
 
     `pressure` is the negative logarithm of the admitted share of the lowest
     priority, plus the slack, as of `updated_at`.  `shed_at` is when a request
-    was last shed, `disbelieved_at` when an upstream with a free slot last did
-    so, `contended_at` when a flow was last shed or refused.  `steps` is the
-    highest number of steps of priority seen, `target_seconds` the mean target.
+    was last shed, here or at an instance that reported it, `disbelieved_at`
+    when an upstream with a free slot last did so here, and `contended_at` when
+    a flow was last shed or refused.  `steps` is the highest number of steps of
+    priority seen, `target_seconds` the mean target.
     """
 
     __slots__ = (
@@ -225,7 +221,7 @@
         target = max(target, known.target_seconds)
     steps = request.priority_steps
     allowed = TARGET_SHARE * (1 + PRIORITY_SHARE * steps) * target
-    if not _is_contended(known, now):
+    if not is_contended(known, now):
         return allowed
     if is_over_share(known.caller_shares, request.caller, now):
         return allowed * OVER_SHARE_WAIT
@@ -239,9 +235,7 @@
 ) -> float:
     """Return the share of the flows of a priority that is admitted."""
     known = state.by_service.get(service, _UNKNOWN)
-    excess = _find_pressure(known, now) - PRESSURE_SLACK
-    excess -= priority_steps * PRESSURE_PER_STEP
-    return max(math.exp(-max(excess, 0)), MIN_LIMIT)
+    return limit_at(find_pressure(known, now), priority_steps)
 
 
 def record_verdict(
@@ -289,10 +283,10 @@
     which shows that it does not know the whole load.
     """
     known = _find_service(state, service)
-    _start_contention(known, now)
+    extend_contention(known, now, now)
     steps = known.steps if priority_steps is None else priority_steps
-    highest = PRESSURE_SLACK + steps * PRESSURE_PER_STEP - math.log(MIN_LIMIT)
-    pressure = _find_pressure(known, now)
+    highest = find_highest_pressure(steps)
+    pressure = find_pressure(known, now)
     known.pressure = max(min(pressure + SHED_STEP, highest), pressure)
     known.updated_at = now
     known.shed_at = now
@@ -306,7 +300,7 @@
     """Raise the admitted share after a response that met its target."""
     known = state.by_service.get(service)
     if in_time and known is not None:
-        known.pressure = max(_find_pressure(known, now) - SERVED_STEP, 0)
+        known.pressure = max(find_pressure(known, now) - SERVED_STEP, 0)
         known.updated_at = now
 
 
@@ -323,7 +317,7 @@
     allowed = allowed_wait(state, request, now)
     if request.completion_seconds <= allowed:
         return ''
-    is_over = _is_contended(known, now) and is_over_share(
+    is_over = is_contended(known, now) and is_over_share(
         known.caller_shares, request.caller, now
     )
     usual = allowed / OVER_SHARE_WAIT if is_over else allowed
@@ -385,8 +379,8 @@
 ) -> None:
     """Update the shares of the callers, which are kept only in contention."""
     if not is_admitted:
-        _start_contention(known, now)
-    if not _is_contended(known, now):
+        extend_contention(known, now, now)
+    if not is_contended(known, now):
         return
     shares = known.caller_shares
     if request.caller not in shares.by_caller:
@@ -398,24 +392,24 @@
         record_refused(shares, request.caller, now)
 
 
-def _start_contention(known: ServiceAdmission, now: float) -> None:
-    if not _is_contended(known, now):
+def extend_contention(
+    known: ServiceAdmission, contended_at: float, now: float
+) -> None:
+    """Begin a contention, or extend it, after an event at a time."""
+    if not is_contended(known, now):
         known.caller_shares = CallerShares()
-    known.contended_at = now
+    known.contended_at = max(known.contended_at, contended_at)
 
 
-def _is_contended(known: ServiceAdmission, now: float) -> bool:
+def is_contended(known: ServiceAdmission, now: float) -> bool:
+    """Return whether flows were shed or refused a short time ago."""
     return now - known.contended_at < CONTENTION_SECONDS
 
 
-def _find_pressure(known: ServiceAdmission, now: float) -> float:
-    recovers_at = max(known.shed_at + RECOVERY_DELAY_SECONDS, known.updated_at)
-    slow_seconds = max(min(now, recovers_at) - known.updated_at, 0)
-    fast_seconds = max(now - recovers_at, 0)
-    return known.pressure * math.exp2(
-        -slow_seconds / PRESSURE_HALF_LIFE_SECONDS
-        - fast_seconds / RECOVERY_HALF_LIFE_SECONDS
-    )
+def find_pressure(known: ServiceAdmission, now: float) -> float:
+    """Return the pressure of a service, with its decay up to now."""
+    left = pressure_left(known.updated_at, known.shed_at, now)
+    return known.pressure * left
 
 
 def _find_service(state: AdmissionState, service: str) -> ServiceAdmission:
--- a/marlbend/test/test_admission.py
+++ b/marlbend/test/test_admission.py
@@ -6,7 +6,7 @@
 import heapq
 import itertools
 from collections import Counter, deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from random import Random
 from types import SimpleNamespace
 from typing import Any
@@ -118,11 +118,12 @@
 
     def attempt(self, now: float, request: Try) -> None:
         request.tries += 1
-        request.instance = self.random.randrange(INSTANCES)
+        request.instance = self.draw_instance(request)
         self.count('tries', request)
         own = self.own[request.instance]
         request.upstream = min(
-            range(UPSTREAMS), key=lambda each: own[each] + self.random.random()
+            self.list_upstreams(request),
+            key=lambda each: own[each] + self.random.random(),
         )
         if not self.admits(request, own[request.upstream], now):
             self.retry(now, request)
@@ -137,6 +138,12 @@
         else:
             self.schedule(now + RETRY_SECONDS, self.shed, request)
 
+    def draw_instance(self, request: Try) -> int:
+        return self.random.randrange(INSTANCES)
+
+    def list_upstreams(self, request: Try) -> Iterable[int]:
+        return range(UPSTREAMS)
+
     def admits(self, request: Try, own: int, now: float) -> bool:
         if self.is_present_rule:
             return fits_present_rule(request.steps, own)
