Exchange pressures in bench placing, and report the worst-off domain

The simulated instances of bench placing did not send the new field. They now send pressures with periodic heartbeats, not with urgent ones, as the daemon does. scarce reports worst_domain_share: the served share of the worst-off failure domain divided by the mean.

--- a/bench/placing_fleet.py
+++ b/bench/placing_fleet.py
@@ -5,7 +5,7 @@
 """
 
 import time
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable
 from functools import partial
 from random import Random
 from typing import Final, final
@@ -18,6 +18,7 @@
     SLOTS_PER_UPSTREAM,
 )
 from marlbend.edge.peers import URGENT_INTERVAL_SECONDS
+from marlbend.edge.pressure_updates import list_pressures, merge_pressures
 from marlbend.edge.upstream_updates import (
     merge_upstream_updates,
     updates_for_local_domain,
@@ -47,7 +48,6 @@
 from marlbend.wire.heartbeats import (
     Heartbeat,
     MemberUpdate,
-    UpstreamUpdate,
     decode_heartbeat,
     encode_heartbeat,
 )
@@ -276,7 +276,12 @@
                 updates = updates_for_remote_domain(
                     steering, target.domain, fleet.steady_now
                 )
-            _send_updates(fleet, instance, updates, [target])
+            heartbeat = Heartbeat(
+                (instance.member,),
+                upstreams=tuple(updates),
+                pressures=list_pressures(steering, fleet.steady_now),
+            )
+            _send(fleet, instance, heartbeat, [target])
 
     return send_heartbeats
 
@@ -286,30 +291,32 @@
         if fleet.now - instance.urgent_sent_at >= URGENT_INTERVAL_SECONDS:
             instance.urgent_sent_at = fleet.now
             updates = urgent_updates(instance.steering, fleet.steady_now)
-            _send_updates(fleet, instance, updates, instance.members.local)
+            heartbeat = Heartbeat((instance.member,), upstreams=tuple(updates))
+            _send(fleet, instance, heartbeat, instance.members.local)
 
     return send_urgent
 
 
-def _send_updates(
+def _send(
     fleet: Fleet,
     sender: Instance,
-    updates: Iterator[UpstreamUpdate],
+    heartbeat: Heartbeat,
     targets: Iterable[Member],
 ) -> None:
-    datagram = encode_heartbeat(
-        Heartbeat((sender.member,), upstreams=tuple(updates))
-    )
+    datagram = encode_heartbeat(heartbeat)
 
     def deliver(receiver: Instance) -> None:
-        heartbeat = decode_heartbeat(datagram)
-        if heartbeat is not None:
+        received = decode_heartbeat(datagram)
+        if received is not None:
             merge_upstream_updates(
                 receiver.steering,
                 sender.member,
-                heartbeat,
+                received,
                 fleet.steady_now,
             )
+            merge_pressures(
+                receiver.steering, received.pressures, fleet.steady_now
+            )
 
     names = {target.name for target in targets}
     for receiver in fleet.instances:
--- a/bench/placing_loads.py
+++ b/bench/placing_loads.py
@@ -138,7 +138,8 @@
     an upstream answered with a short response, and `choice_us` is the processor
     time of an instance for each SYN, all three in the whole run.
     `worst_caller_share` is the served share of the worst-off caller divided by
-    the mean, among the callers that do not ask for more than others.
+    the mean, among the callers that do not ask for more than others, and
+    `worst_domain_share` that of the worst-off failure domain.
     """
 
     in_aim_share: float
@@ -152,6 +153,7 @@
     in_aim_share_by_priority: dict[int, float] | None = None
     refused_share_by_priority: dict[int, float] | None = None
     worst_caller_share: float | None = None
+    worst_domain_share: float | None = None
 
 
 class LoadReport(msgspec.Struct, frozen=True):
@@ -376,15 +378,21 @@
 def _add_shares(
     figures: LoadFigures, measured: list[tuple[Session, CallerRequest]]
 ) -> LoadFigures:
-    """Add the shares of each priority, and of the worst-off caller."""
+    """Add the shares of each priority, the worst-off caller and domain."""
     by_priority: dict[int, list[CallerRequest]] = {}
     by_caller: dict[int, list[CallerRequest]] = {}
+    by_domain: dict[str, list[CallerRequest]] = {}
+
+    def find_worst(groups: Iterable[list[CallerRequest]]) -> float:
+        served = [_share(requests, SERVED) for requests in groups]
+        return round(min(served) / statistics.mean(served), 4)
+
     for session, request in measured:
         priority = session.route.spec.priority
         by_priority.setdefault(priority, []).append(request)
+        by_domain.setdefault(session.domain, []).append(request)
         if session.caller >= EAGER_CALLERS:
             by_caller.setdefault(session.caller, []).append(request)
-    served = [_share(requests, SERVED) for requests in by_caller.values()]
     return msgspec.structs.replace(
         figures,
         in_aim_share_by_priority={
@@ -395,7 +403,8 @@
             priority: _share(requests, REFUSED)
             for priority, requests in sorted(by_priority.items())
         },
-        worst_caller_share=round(min(served) / statistics.mean(served), 4),
+        worst_caller_share=find_worst(by_caller.values()),
+        worst_domain_share=find_worst(by_domain.values()),
     )
 
 
