--- a/marlbend/steering/placement/contention.py
+++ b/marlbend/steering/placement/contention.py
@@ -9,8 +9,8 @@
 
 from marlbend.steering.placement.admission import (
     AdmissionState,
+    extend_contention,
     find_service,
-    start_contention,
 )
 
 __all__ = ('is_in_contention', 'list_contended', 'record_refusal_by_counts')
@@ -19,8 +19,8 @@
 def is_in_contention(state: AdmissionState, service: str, now: float) -> bool:
     """Return whether a service is in contention.
 
-    It is from when its pressure exceeds the slack, or a flow is refused for
-    load, until some time after the last shed response or refusal.
+    It is from when its pressure is high, or a flow is refused for load, until
+    some time after the last shed response or refusal.
     """
     known = state.by_service.get(service)
     return known is not None and now < known.contention_ends_at
@@ -42,4 +42,5 @@
     not show the latest one, which concerns another flow.
     """
     state.latest = None
-    start_contention(find_service(state, service), now, is_evident=True)
+    known = find_service(state, service)
+    extend_contention(known, now, now, is_evident=True)
