Learn how many requests a flow of each route brings

Admission control counts flows, although a flow of one route brings one request and that of another eight, which cannot be refused once it is open. flow_lengths.py counts flows and requests by route from the packets that pass, only where flows are placed by work. A flow counts with its first request that this instance sees; a request sent along with an acknowledgement counts, a retransmission does not.

--- a/marlbend/steering/flows.py
+++ b/marlbend/steering/flows.py
@@ -16,6 +16,10 @@
 )
 from marlbend.steering.packet import Packet
 from marlbend.steering.placement.completion import refresh_slowdowns
+from marlbend.steering.placement.flow_lengths import (
+    record_flow,
+    record_request,
+)
 from marlbend.steering.placement.load_shedding import (
     is_unqueued,
     record_service_time,
@@ -132,6 +136,8 @@
     flow.unanswered_since = 0
     flow.retransmissions = 0
     if packet.payload_size:
+        if flow.busy:
+            _record_request(steering, flow, packet.endpoint)
         restart_request(steering, flow)
     else:
         _end_request(steering, flow)
@@ -211,6 +217,7 @@
         starts_request = flow.is_before_data or not flow.busy
         if starts_request:
             _complete_response(steering, flow, packet)
+            _record_request(steering, flow, packet.endpoint)
         begin_request(steering, flow, packet.endpoint, now)
         flow.is_before_data = False
         flow.sequence = packet.sequence
@@ -229,6 +236,16 @@
     return False
 
 
+def _record_request(steering: Steering, flow: Flow, endpoint: bytes) -> None:
+    """Count a request that begins, and its flow if it is the first one."""
+    if not steering.local_instance.places_by_work:
+        return
+    lengths = steering.estimates.flow_lengths
+    if flow.is_before_data:
+        record_flow(lengths, endpoint, steering.now)
+    record_request(lengths, endpoint, steering.now)
+
+
 def _start_outcome(steering: Steering, flow: Flow) -> None:
     flow.is_unqueued = is_unqueued(flow.upstream, steering.now)
     if steering.local_instance.places_by_work:
--- a/marlbend/steering/state.py
+++ b/marlbend/steering/state.py
@@ -10,6 +10,7 @@
 from marlbend.steering.budgets import make_budgets
 from marlbend.steering.packet import Packet
 from marlbend.steering.placement.admission import AdmissionState
+from marlbend.steering.placement.flow_lengths import FlowLengths
 from marlbend.steering.placement.held_flows import HeldFlows
 from marlbend.steering.placement.service_loads import ServiceLoad
 from marlbend.steering.placement.service_times import ServiceTimes
@@ -269,12 +270,14 @@
     the median response size of each route, `request_times_by_service` how fast
     each service is, and `service_times` how long the requests of each route
     take.  `admission` holds what admission control follows, `held_flows` the
-    SYNs that wait for capacity, and `load_by_service` what the flows of each
-    service bring.
+    SYNs that wait for capacity, `load_by_service` what the flows of each
+    service bring, and `flow_lengths` how many requests a flow of each route
+    brings.
     """
 
     __slots__ = (
         'admission',
+        'flow_lengths',
         'handshake_times',
         'held_flows',
         'load_by_service',
@@ -292,6 +295,7 @@
         self.admission = AdmissionState()
         self.held_flows = HeldFlows()
         self.load_by_service: dict[str, ServiceLoad] = {}
+        self.flow_lengths = FlowLengths()
 
 
 @final
