Estimate the work that a flow brings, without waits in queues

AdmissionRequest.flow_seconds is the expected time of a request of its route, times the requests of a flow. The wait is common to all routes of a service, so the least excess of the mean over the first tenth of the times of a route in use is subtracted. The service times and all else that reads them stay as they are.

--- a/marlbend/steering/flows.py
+++ b/marlbend/steering/flows.py
@@ -16,6 +16,7 @@
 )
 from marlbend.steering.packet import Packet
 from marlbend.steering.placement.completion import refresh_slowdowns
+from marlbend.steering.placement.flow_costs import record_wait
 from marlbend.steering.placement.flow_lengths import (
     record_flow,
     record_request,
@@ -194,6 +195,7 @@
         speed = flow.upstream.work.speed
         record_speed(speed, seconds, typical, steering.now)
     record_route_time(times, endpoint, seconds, steering.now)
+    record_wait(steering, endpoint, flow.upstream.entry.service)
     outcome.served_seconds = 0
 
 
--- a/marlbend/steering/placement/opening.py
+++ b/marlbend/steering/placement/opening.py
@@ -32,6 +32,7 @@
     find_completion,
     find_idle_seconds,
 )
+from marlbend.steering.placement.flow_costs import find_flow_seconds
 from marlbend.steering.placement.held_flows import (
     find_deadline,
     find_next,
@@ -191,6 +192,7 @@
     request.cost_seconds = expected_seconds(
         estimates.service_times, spec.endpoint
     )
+    request.flow_seconds = find_flow_seconds(steering, spec.endpoint, service)
     request.is_measured = is_measured(estimates.service_times, spec.endpoint)
     if believes_free_slots(estimates.admission, service, steering.now):
         request.has_free_slot = has_free_slot(steering, usable)
--- a/marlbend/steering/placement/service_loads.py
+++ b/marlbend/steering/placement/service_loads.py
@@ -8,6 +8,7 @@
 from math import exp2
 from typing import Final, final
 
+from marlbend.steering.placement.queue_waits import QueueWait
 from marlbend.steering.placement.service_times import DEFAULT_SERVICE_SECONDS
 
 __all__ = (
@@ -40,13 +41,14 @@
     that of requests on flows that were idle before; both decay as of
     `decayed_at`.  A flow's first request is in neither: it is not brought by an
     idle flow.  `request_seconds` is the mean expected time of recent
-    `requests`.
+    `requests`, and `queue_wait` what they wait at the upstreams.
     """
 
     __slots__ = (
         'busy_seconds',
         'decayed_at',
         'idle_seconds',
+        'queue_wait',
         'request_seconds',
         'requests',
     )
@@ -58,6 +60,7 @@
         self.decayed_at = now
         self.request_seconds = DEFAULT_SERVICE_SECONDS
         self.requests = 0
+        self.queue_wait = QueueWait()
 
 
 def record_idle_time(load: ServiceLoad, flows: int, now: float) -> None:
--- a/marlbend/steering/placement/service_times.py
+++ b/marlbend/steering/placement/service_times.py
@@ -201,7 +201,9 @@
 
 
 def seconds_by_quantile(
-    times: ServiceTimes, endpoint: bytes
+    times: ServiceTimes,
+    endpoint: bytes,
+    quantiles: Iterable[float] = QUANTILES,
 ) -> dict[float, float]:
     """Return the service time at each quantile, none for an unmeasured route.
 
@@ -213,7 +215,7 @@
     sums = tuple(itertools.accumulate(route.counts))
     return {
         quantile: _find_quantile(route, sums, quantile)
-        for quantile in QUANTILES
+        for quantile in quantiles
     }
 
 
--- a/marlbend/steering/placement/verdicts.py
+++ b/marlbend/steering/placement/verdicts.py
@@ -51,8 +51,10 @@
     `caller` is the four bytes of an address.  `priority_steps` counts the steps
     above the lowest priority of the service.  `completion_seconds` is the
     expected time to complete the request at the best candidate, and
-    `cost_seconds` the expected service time.  `room_seconds` is the expected
-    time until that candidate has capacity, infinite if unknown.
+    `cost_seconds` the expected service time.  `flow_seconds` is that of all
+    requests that the flow is expected to bring, zero if unknown.
+    `room_seconds` is the expected time until that candidate has capacity,
+    infinite if unknown.
 
     `has_free_slot` is set if an upstream that may get the flow has a free slot,
     `is_measured` if the service times of the route are known, and
@@ -65,6 +67,7 @@
         'completion_seconds',
         'cost_seconds',
         'endpoint',
+        'flow_seconds',
         'has_free_slot',
         'is_measured',
         'is_route_served',
@@ -83,6 +86,7 @@
         self.priority_steps = 0
         self.completion_seconds: float = 0
         self.cost_seconds: float = 0
+        self.flow_seconds: float = 0
         self.room_seconds = math.inf
         self.has_free_slot = False
         self.is_measured = False
