Admit flows by their cost

Under the limit a flow of one request of 5 ms needed as much credit as one that brings eight of 55 ms, so cheap flows were refused for the work of others. The limit is now the share of the work: a flow needs the relative work of its caller, between 0.5 and 4 as before, times its cost relative to the mean of its priority, and takes its relative cost. A quarter of what a flow above the mean adds is kept for its route, as cheap flows can use up the credit before an expensive flow has enough. Flows that all cost the same are admitted as before.

--- a/marlbend/steering/placement/admission.py
+++ b/marlbend/steering/placement/admission.py
@@ -24,6 +24,13 @@
     record_refused,
     was_refused,
 )
+from marlbend.steering.placement.credits import (
+    PriorityCredit,
+    find_needed_credit,
+    find_relative_cost,
+    find_usable_credit,
+    record_credit,
+)
 from marlbend.steering.placement.held_flows import find_deadline
 from marlbend.steering.placement.route_activity import (
     RouteActivity,
@@ -90,14 +97,6 @@
 DISBELIEF_SECONDS: Final = 2.0
 # A service is in contention for this long after a flow was shed or refused.
 CONTENTION_SECONDS: Final = 5.0
-# What a flow needs of its priority's credit, to which each flow adds the
-# admitted share, and of which an admitted one uses 1.  A flow needs as much as
-# its caller's work is of the mean, within these limits: callers that were
-# admitted less than others come first, and no caller needs more than the credit
-# can become.
-MIN_CREDIT: Final = 0.5
-USUAL_CREDIT: Final = 1.0
-MAX_CREDIT: Final = 4.0
 OVER_SHARE_WAIT: Final = 0.5
 REFUSED_WAIT: Final = 1.25
 # A flow is held only if capacity is expected within this time.
@@ -119,6 +118,7 @@
     was last shed, `disbelieved_at` when an upstream with a free slot last did
     so, `contended_at` when a flow was last shed or refused.  `steps` is the
     highest number of steps of priority seen, `target_seconds` the mean target.
+    `credit_by_steps` is the credit of each priority.
     """
 
     __slots__ = (
@@ -142,7 +142,7 @@
         self.contended_at = -math.inf
         self.steps = 0
         self.target_seconds: float = 0
-        self.credit_by_steps: dict[int, float] = {}
+        self.credit_by_steps: dict[int, PriorityCredit] = {}
         self.caller_shares = CallerShares()
 
 
@@ -264,8 +264,12 @@
     excess = request.target_seconds - known.target_seconds
     known.target_seconds += TARGET_WEIGHT * excess
     is_admitted = verdict.kind is VerdictKind.ADMIT
-    known.credit_by_steps[request.priority_steps] = max(
-        _find_credit(state, known, request, now) - is_admitted, 0
+    steps = request.priority_steps
+    record_credit(
+        known.credit_by_steps.setdefault(steps, PriorityCredit()),
+        request,
+        find_limit(state, request.service, steps, now),
+        is_admitted=is_admitted,
     )
     _record_caller(state, known, request, now, is_admitted=is_admitted)
 
@@ -338,27 +342,17 @@
     now: float,
 ) -> str:
     """Return the reason why the limit refuses a flow, empty if it does not."""
-    if find_limit(state, request.service, request.priority_steps, now) == 1:
+    limit = find_limit(state, request.service, request.priority_steps, now)
+    if limit == 1:
         return ''
-    relative = find_relative_work(known.caller_shares, request.caller, now)
-    needed = min(max(relative, MIN_CREDIT), MAX_CREDIT)
-    credit = _find_credit(state, known, request, now)
-    if credit >= needed:
+    priority = known.credit_by_steps.get(request.priority_steps, _NO_CREDIT)
+    cost = find_relative_cost(priority, request)
+    work = find_relative_work(known.caller_shares, request.caller, now)
+    credit = find_usable_credit(priority, request, cost, limit)
+    if credit >= find_needed_credit(cost, work):
         return ''
-    return CALLER_SHARE if credit >= USUAL_CREDIT else PRIORITY
-
-
-def _find_credit(
-    state: AdmissionState,
-    known: ServiceAdmission,
-    request: AdmissionRequest,
-    now: float,
-) -> float:
-    """Return the credit of a priority with what one more flow adds to it."""
-    steps = request.priority_steps
-    added = find_limit(state, request.service, steps, now)
-    credit = known.credit_by_steps.get(steps, 0) + added
-    return min(credit, MAX_CREDIT)
+    is_usual_enough = credit >= find_needed_credit(cost, 1)
+    return CALLER_SHARE if is_usual_enough else PRIORITY
 
 
 def _can_wait(
@@ -437,5 +431,7 @@
     state.counts[key] = state.counts.get(key, 0) + 1
 
 
-# What is known of a service before its first verdict; it is never changed.
+# What is known of a service, and of a priority, before the first verdict.  They
+# are never changed.
 _UNKNOWN: Final = ServiceAdmission()
+_NO_CREDIT: Final = PriorityCredit()
