Show the expected work of a flow in explanations

marlbend explain shows flow_ms, the expected time of all requests of the flow, by which its cost is compared with that of others under the limit. The field comes last and has a default, so that the former tool reads it, too.

--- a/marlbend/cli/explaining.py
+++ b/marlbend/cli/explaining.py
@@ -20,7 +20,8 @@
 _NOT_FOUND: Final = 404
 _VERDICT_TEMPLATE: Final = (
     '{route} to {service}, by {method}: {verdict} ({reason}); cost {cost_ms} '
-    'ms, target {target_ms} ms, allowed {allowed_ms} ms, limit {limit}'
+    'ms, flow {flow_ms} ms, target {target_ms} ms, allowed {allowed_ms} ms, '
+    'limit {limit}'
 )
 _CANDIDATE_TEMPLATE: Final = (
     '  {name} in {domain}: {expected_ms} ms = (work {work_ms} + idle '
--- a/marlbend/edge/explaining.py
+++ b/marlbend/edge/explaining.py
@@ -119,6 +119,7 @@
         reason=verdict.reason,
         limit=round(limit, 3),
         allowed_ms=round(allowed_seconds * _MILLISECONDS, 1),
+        flow_ms=round(request.flow_seconds * _MILLISECONDS, 1),
     )
 
 
--- a/marlbend/test/test_explaining.py
+++ b/marlbend/test/test_explaining.py
@@ -32,6 +32,7 @@
     explanation = explain(driver)
     assert (explanation.verdict, explanation.reason) == ('admit', 'room')
     assert explanation.cost_ms == pytest.approx(50, rel=0.1)
+    assert explanation.flow_ms == explanation.cost_ms
     first, second = explanation.candidates
     assert (first.name, first.work_ms, first.busy) == ('b1', 0, 0)
     assert (first.is_cold, first.is_remote) == (True, True)
--- a/marlbend/wire/status.py
+++ b/marlbend/wire/status.py
@@ -72,9 +72,10 @@
 class FlowExplanation(msgspec.Struct, frozen=True):
     """Report where a new flow would go now, and why.
 
-    `candidates` starts with the best one.  `limit` is the share of the flows of
-    this priority that is admitted, and `allowed_ms` how long a request may be
-    expected to take.  The verdict is that of placement by work, also while the
+    `candidates` starts with the best one.  `limit` is the share of the work of
+    this priority that is admitted, `allowed_ms` how long a request may be
+    expected to take, and `flow_ms` the expected time of all requests of the
+    flow.  The verdict is that of placement by work, also while the
     `method` in use is another.
     """
 
@@ -88,6 +89,7 @@
     candidates: tuple[CandidateStatus, ...]
     limit: float = 1
     allowed_ms: float = 0
+    flow_ms: float = 0
 
 
 class ControlStatus(msgspec.Struct, frozen=True):
