--- a/marlbend/cli/explaining.py
+++ b/marlbend/cli/explaining.py
@@ -20,7 +20,8 @@
 _NOT_FOUND: Final = 404
 _VERDICT_TEMPLATE: Final = (
     '{route} to {service}, by {method}{setting}: {verdict} ({reason}); cost '
-    '{cost_ms} ms, target {target_ms} ms, allowed {allowed_ms} ms, '
+    '{cost_ms} ms, flow {flow_ms} ms, target {target_ms} ms, '
+    'allowed {allowed_ms} ms, '
     'limit {limit}'
 )
 _CANDIDATE_TEMPLATE: Final = (
