--- a/marlbend/steering/flows.py
+++ b/marlbend/steering/flows.py
@@ -16,6 +16,11 @@
 )
 from marlbend.steering.packet import Packet
 from marlbend.steering.placement.completion import refresh_slowdowns
+from marlbend.steering.placement.flow_costs import record_wait
+from marlbend.steering.placement.flow_lengths import (
+    record_flow,
+    record_request,
+)
 from marlbend.steering.placement.load_shedding import (
     is_unqueued,
     record_service_time,
@@ -133,6 +138,8 @@
     flow.unanswered_since = 0
     flow.retransmissions = 0
     if packet.payload_size:
+        if flow.busy:
+            _record_request(steering, flow, packet.endpoint)
         restart_request(steering, flow)
     else:
         _end_request(steering, flow)
@@ -189,6 +196,7 @@
         speed = flow.upstream.work.speed
         record_speed(speed, seconds, typical, steering.now)
     record_route_time(times, endpoint, seconds, steering.now)
+    record_wait(steering, endpoint, flow.upstream.entry.service)
     outcome.served_seconds = 0
 
 
@@ -212,6 +220,7 @@
         starts_request = flow.is_before_data or not flow.busy
         if starts_request:
             _complete_response(steering, flow, packet)
+            _record_request(steering, flow, packet.endpoint)
         begin_request(steering, flow, packet.endpoint, now)
         flow.is_before_data = False
         flow.sequence = packet.sequence
@@ -230,6 +239,16 @@
     return False
 
 
+def _record_request(steering: Steering, flow: Flow, endpoint: bytes) -> None:
+    """Count a request that begins, and its flow if it is the first one."""
+    if not keeps_estimates(steering):
+        return
+    lengths = steering.estimates.flow_lengths
+    if flow.is_before_data:
+        record_flow(lengths, endpoint, steering.now)
+    record_request(lengths, endpoint, steering.now)
+
+
 def _start_outcome(steering: Steering, flow: Flow) -> None:
     flow.is_unqueued = is_unqueued(flow.upstream, steering.now)
     if keeps_estimates(steering):
--- a/marlbend/wire/status.py
+++ b/marlbend/wire/status.py
@@ -72,12 +72,13 @@
 class FlowExplanation(msgspec.Struct, frozen=True):
     """Report where a new flow would go now, and why.
 
-    `candidates` starts with the best one.  `limit` is the share of the flows of
-    this priority that is admitted, and `allowed_ms` how long a request may be
-    expected to take.  `method` is the one in force for the service, `requests`
-    or `work`, and `placement` the setting, which instances of earlier releases
-    do not report.  The verdict is that of placement by work, also while the
-    method in force is another.
+    `candidates` starts with the best one.  `limit` is the share of the work of
+    this priority that is admitted, `allowed_ms` how long a request may be
+    expected to take, and `flow_ms` the expected time of all requests of the
+    flow.  `method` is the one in force for the service, `requests` or `work`,
+    and `placement` the setting, which instances of earlier releases do not
+    report.  The verdict is that of placement by work, also while the method in
+    force is another.
     """
 
     route: str
@@ -91,6 +92,7 @@
     limit: float = 1
     allowed_ms: float = 0
     placement: str = ''
+    flow_ms: float = 0
 
 
 class ControlStatus(msgspec.Struct, frozen=True):
