Count a held flow that is refused when it has waited too long

Callers saw nothing else; operators missed these refusals in marlbend_placement_total, and E610 showed the reason of another flow.

Cause: flows that are due were reset without a verdict. Change: the verdict with the reason wait is recorded first. The test failed before (KeyError: no count).

--- a/marlbend/steering/placement/opening.py
+++ b/marlbend/steering/placement/opening.py
@@ -44,6 +44,7 @@
     expected_seconds,
     is_measured,
 )
+from marlbend.steering.placement.verdicts import WAIT
 from marlbend.steering.state import Steering
 from marlbend.steering.upstreams import Upstream
 
@@ -54,6 +55,7 @@
     'make_admission_request',
     'place_flow',
     'place_held_flow',
+    'record_expired_hold',
     'set_completion',
 )
 
@@ -172,6 +174,16 @@
     return placement
 
 
+def record_expired_hold(steering: Steering, packet: Packet) -> None:
+    """Record that a held SYN is refused, as it has waited too long."""
+    # The count needs no service.
+    request = AdmissionRequest(
+        '', packet.endpoint, packet.flow_key[:CALLER_BYTES]
+    )
+    verdict = Verdict(VerdictKind.REFUSE, WAIT)
+    record_verdict(steering.estimates.admission, request, verdict, steering.now)
+
+
 def make_admission_request(
     steering: Steering,
     flow_key: bytes,
--- a/marlbend/steering/steer.py
+++ b/marlbend/steering/steer.py
@@ -44,6 +44,7 @@
     Placement,
     place_flow,
     place_held_flow,
+    record_expired_hold,
 )
 from marlbend.steering.placement.outstanding_work import (
     NOT_STARTED,
@@ -196,6 +197,7 @@
     """Open a held flow if there is capacity, refuse it after its deadline."""
     held = steering.estimates.held_flows
     for due in take_due(held, steering.now):
+        record_expired_hold(steering, due.syn)
         _reset_without_upstream(steering, due.syn, Outcome.REFUSED_CROWD)
     waiting = held.by_key.get(key)
     if waiting is None:
--- a/marlbend/test/test_opening.py
+++ b/marlbend/test/test_opening.py
@@ -107,6 +107,7 @@
 
 
 def test_held_flow_is_refused_when_it_has_waited_too_long() -> None:
+    """It would be missing from the counts, or have another flow's reason."""
     driver = Overload()
     driver.load(17)
     driver.open('f1', 'web')
@@ -115,6 +116,9 @@
         driver.wait('0.01')
     assert driver.sent == ['reset']
     assert driver.count(Outcome.REFUSED_CROWD) == 1
+    admission = driver.steering.estimates.admission
+    endpoint = driver.routes['web'].endpoint
+    assert admission.counts[endpoint, 'refuse', 'wait'] == 1
     driver.wait('0.5')
     assert driver.sent == ['reset']
 
