--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -64,7 +64,7 @@
     parser.add_argument(
         '--by-work',
         action=FLAG,
-        help='place by work at every second instance; costs differ by route',
+        help='place by the three methods in turn; costs differ by route',
     )
     parser.add_argument('--replay', metavar='FILE', help='a saved schedule')
     parser.add_argument('--json', action=FLAG)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -19,6 +19,7 @@
 from marlbend.errors import MarlbendError
 from marlbend.http import Connection
 from marlbend.sockets import open_socket, start_reading_with_sender
+from marlbend.steering.placement.method import PlacementMethod
 from soak.checker import Checker, report
 from soak.links import Links, Node, transmit
 from soak.proxies import Proxy, start_proxy
@@ -60,6 +61,8 @@
 STOP_GRACE_SECONDS: Final = 6.0
 _HTTP_OK: Final = 200
 
+METHODS: Final = tuple(PlacementMethod)
+
 
 class Instance(msgspec.Struct):
     """Hold an instance, its process and the proxies in front of it.
@@ -92,8 +95,7 @@
     """Hold the instances by name and by the address that they send from.
 
     `prefix` is the first two bytes of every loopback address.  With
-    `places_by_work`, every second process places flows by work; a reload
-    changes that.
+    `places_by_work`, the processes place flows by the three methods in turn.
     """
 
     prefix: str
@@ -177,8 +179,9 @@
     settings = {**instance.settings, 'log_level': log_level}
     turn = int(name.rpartition('-')[2]) + instance.process_number
     cookie = instance.settings['cookie']
-    if fleet.places_by_work and turn % 2 and isinstance(cookie, dict):
-        settings['cookie'] = {**cookie, 'placement': 'work'}
+    if fleet.places_by_work and isinstance(cookie, dict):
+        method = METHODS[turn % len(METHODS)].value
+        settings['cookie'] = {**cookie, 'placement': method}
     path.write_text(json.dumps(settings))
 
 
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -91,7 +91,7 @@
     """Describe a run; `seconds` is its length.
 
     Every release has `idle_routes` routes without traffic beside the others.
-    With `places_by_work`, every second instance places flows by work, and the
+    With `places_by_work`, instances place flows by the three methods, and the
     cost of requests differs by route.
     """
 
