Let a held flow wait only behind flows of its service

Callers saw: in contention of one service, flows of another one were held for up to 150 ms although its upstreams had room in time.

Cause: the next held flow was that of the highest priority of all services, and a flow that would pass it was held as well. Change: held flows are ordered by service. The new test failed before (nothing was sent).

--- a/marlbend/steering/placement/held_flows.py
+++ b/marlbend/steering/placement/held_flows.py
@@ -35,13 +35,19 @@
 class HeldFlow:
     """Hold a SYN that arrived at `held_at` and waits until `deadline`."""
 
-    __slots__ = ('deadline', 'held_at', 'priority_steps', 'syn')
+    __slots__ = ('deadline', 'held_at', 'priority_steps', 'service', 'syn')
 
     def __init__(
-        self, syn: Packet, deadline: float, priority_steps: int, now: float
+        self,
+        syn: Packet,
+        deadline: float,
+        priority_steps: int,
+        now: float,
+        service: str,
     ) -> None:
         """Start to wait now."""
         self.syn = syn
+        self.service = service
         self.deadline = deadline
         self.priority_steps = priority_steps
         self.held_at = now
@@ -75,6 +81,7 @@
     deadline: float,
     now: float,
     priority_steps: int = 0,
+    service: str = '',
 ) -> bool:
     """Hold a SYN; return `False` if it cannot wait and must be refused.
 
@@ -86,18 +93,28 @@
     if len(held.by_key) >= MAX_HELD_FLOWS or deadline <= now:
         return False
     held.by_key[packet.flow_key] = HeldFlow(
-        packet, min(deadline, now + MAX_HOLD_SECONDS), priority_steps, now
+        packet,
+        min(deadline, now + MAX_HOLD_SECONDS),
+        priority_steps,
+        now,
+        service,
     )
     return True
 
 
-def find_next(held: HeldFlows, now: float) -> HeldFlow | None:
-    """Return the flow that gets the next capacity; it stays held.
+def find_next(
+    held: HeldFlows, now: float, service: str = ''
+) -> HeldFlow | None:
+    """Return the flow that gets the next capacity of a service; it stays held.
 
     It is the one of the highest priority, and among these the first by
     deadline.  Whoever admits it releases it.
     """
-    waiting = (flow for flow in held.by_key.values() if now < flow.deadline)
+    waiting = (
+        flow
+        for flow in held.by_key.values()
+        if now < flow.deadline and flow.service == service
+    )
     return min(
         waiting,
         key=lambda flow: (-flow.priority_steps, flow.deadline),
--- a/marlbend/steering/placement/opening.py
+++ b/marlbend/steering/placement/opening.py
@@ -161,10 +161,10 @@
 ) -> Placement | None:
     """Decide again on a held SYN; return `None` while it has to wait.
 
-    Only the next of all held flows may take free capacity.
+    Only the next of the service's held flows may take free capacity.
     """
     held = steering.estimates.held_flows
-    next_flow = find_next(held, steering.now)
+    next_flow = find_next(held, steering.now, service)
     if next_flow is None or next_flow.syn.flow_key != packet.flow_key:
         return None
     placement = place_flow(steering, packet, spec, service)
@@ -238,7 +238,8 @@
 
     A free slot is enough for both.
     """
-    next_flow = find_next(steering.estimates.held_flows, steering.now)
+    held = steering.estimates.held_flows
+    next_flow = find_next(held, steering.now, request.service)
     if next_flow is None or verdict.kind is not VerdictKind.ADMIT:
         return False
     if request.has_free_slot or not request.target_seconds:
@@ -259,4 +260,5 @@
         deadline,
         steering.now,
         request.priority_steps,
+        request.service,
     )
--- a/marlbend/test/test_opening.py
+++ b/marlbend/test/test_opening.py
@@ -123,6 +123,22 @@
     assert driver.sent == ['reset']
 
 
+def test_flow_does_not_wait_behind_one_of_another_service() -> None:
+    driver = Overload()
+    driver.route('scan', 'survey')
+    driver.target('scan', '0.5', '2')
+    endpoint = driver.routes['scan'].endpoint
+    for _ in range(MIN_REQUESTS):
+        times = driver.steering.estimates.service_times
+        record_service_time(times, endpoint, COST, driver.now)
+    driver.upstream('s1', 'survey', 'a', 'slots=2')
+    driver.load(17)
+    driver.open('f1', 'web')
+    driver.report_busy('n-2', 's1', '3')
+    driver.open('f2', 'scan')
+    assert driver.sent == ['s1']
+
+
 def test_higher_priority_gets_the_first_capacity() -> None:
     driver = Overload()
     driver.load(17)
