--- a/marlbend/steering/placement/admission.py
+++ b/marlbend/steering/placement/admission.py
@@ -237,7 +237,7 @@
 def find_limit(
     state: AdmissionState, service: str, priority_steps: int, now: float
 ) -> float:
-    """Return the share of the flows of a priority that is admitted."""
+    """Return the share of the work of a priority that is admitted."""
     known = state.by_service.get(service, _UNKNOWN)
     return limit_at(find_pressure(known, now), priority_steps)
 
--- a/marlbend/steering/placement/limits.py
+++ b/marlbend/steering/placement/limits.py
@@ -1,4 +1,4 @@
-"""Derive the admitted share of the flows from a pressure, which decays.
+"""Derive the admitted share of the work from a pressure, which decays.
 
 Designed for more requests than the upstreams can serve in time: the lowest
 priority has the whole reduction before the next one has any.
@@ -37,7 +37,7 @@
 
 
 def limit_at(pressure: float, priority_steps: int) -> float:
-    """Return the share of the flows of a priority that is admitted."""
+    """Return the share of the work of a priority that is admitted."""
     excess = pressure - PRESSURE_SLACK - priority_steps * PRESSURE_PER_STEP
     return max(math.exp(-max(excess, 0)), MIN_LIMIT)
 
