--- a/review/7/case.py
+++ b/review/7/case.py
@@ -25,7 +25,6 @@
 from review.stand_ins_2.traffic import add_caller, find_strayed_flows
 
 RECORD: Final = pathlib.Path(__file__).with_name('record.txt')
-PREFIX: Final = '127.47'
 SERVICE: Final = 'catalog'
 # Shorter than `idle_timeout_ms` (15,000).
 ROUTE: Final = Route(
@@ -81,5 +80,5 @@
 
 if __name__ == '__main__':
     with temporary_folder() as folder:
-        played = Scenario(PREFIX, folder)
+        played = Scenario(folder)
         sys.exit(play_scenario(played, RECORD, play, judge))
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -24,7 +24,6 @@
 from review.stand_ins_2.traffic import add_caller
 
 RECORD: Final = pathlib.Path(__file__).with_name('record.txt')
-PREFIX: Final = '127.48'
 SERVICE: Final = 'catalog'
 ROUTE: Final = Route(('198.18.0.3', 443), at_most_once=True, requests=1)
 # Too large for any integer or floating-point type of a machine.
@@ -40,8 +39,11 @@
     """Write the entry, and send requests later than changes are in force."""
     await publish(scenario, ROUTE.endpoint, SERVICE, 'unsafe')
     if scenario.has_trouble and scenario.served is not None:
+        prefix = scenario.fleet.prefix
         scenario.note('another writer writes an entry')
-        await put(scenario.served, 'servers', 'other-writer-0b', _make_entry())
+        await put(
+            scenario.served, 'servers', 'other-writer-0b', _make_entry(prefix)
+        )
     await asyncio.sleep(APPLY_SECONDS)
     callers = [
         add_caller(scenario.traffic, number, zone)
@@ -64,10 +66,10 @@
     return HELD if served else BROKEN
 
 
-def _make_entry() -> dict[str, object]:
+def _make_entry(prefix: str) -> dict[str, object]:
     return {
         'service': SERVICE,
-        'address': f'{PREFIX}.7.1:8080',
+        'address': f'{prefix}.7.1:8080',
         'zone': 'bole',
         'version': 'v1',
         'slots': SLOTS,
@@ -85,5 +87,5 @@
 
 if __name__ == '__main__':
     with temporary_folder() as folder:
-        played = Scenario(PREFIX, folder)
+        played = Scenario(folder)
         sys.exit(play_scenario(played, RECORD, play, judge))
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,5 +7,6 @@
 import bench.documents
 import bench.endpoints.callers
 import bench.endpoints.upstreams
+import bench.store
 import review.stand_ins_2.scenario
 '
--- a/review/stand_ins_2/fleet.py
+++ b/review/stand_ins_2/fleet.py
@@ -27,12 +27,16 @@
     'Instance',
     'add_instance',
     'choose_instance',
+    'claim_network',
     'is_in_touch',
     'start_instance',
     'stop_fleet',
     'wait_ready',
 )
 
+# Second bytes of the loopback networks of cases.
+FIRST_NETWORK: Final = 40
+NETWORK_COUNT: Final = 160
 ROOT: Final = pathlib.Path(__file__).parents[2]
 DATA_PORT: Final = 6081
 READY_PORT: Final = 8167
@@ -137,6 +141,17 @@
         self.writers: set[asyncio.StreamWriter] = set()
 
 
+def claim_network() -> tuple[str, socket.socket]:
+    """Return the first two bytes of a free network, and its claim."""
+    claim = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    for network in range(FIRST_NETWORK, FIRST_NETWORK + NETWORK_COUNT):
+        prefix = f'127.{network}'
+        with suppress(OSError):
+            claim.bind((f'{prefix}.0.1', CONTROL_PORT))
+            return prefix, claim
+    raise OSError('no loopback network is free')
+
+
 def add_instance(fleet: Fleet, zone: str) -> Instance:
     """Add an instance to a zone, without starting it."""
     number = len(fleet.instances) + 1
--- a/review/stand_ins_2/scenario.py
+++ b/review/stand_ins_2/scenario.py
@@ -3,9 +3,10 @@
 import asyncio
 import os
 import pathlib
+import signal
 import tempfile
 from collections.abc import Awaitable, Callable, Mapping
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, suppress
 from types import MappingProxyType
 from typing import Any, Final, final
 
@@ -14,6 +15,7 @@
 from review.stand_ins_2.fleet import (
     Fleet,
     add_instance,
+    claim_network,
     start_instance,
     stop_fleet,
     wait_ready,
@@ -49,6 +51,8 @@
 READY_SECONDS: Final = 20.0
 # All instances know each other by then.
 SETTLE_SECONDS: Final = 6.0
+# A script may take 120 s.
+LIMIT_SECONDS: Final = 110.0
 
 
 @final
@@ -56,10 +60,12 @@
     """Hold a deployment and its record.
 
     `routes` and `services` are what the operator publishes.  `has_trouble` is
-    false if the case is to be played without its disruption.
+    false if the case is to be played without its disruption.  `claim` keeps
+    other cases off the network.
     """
 
     __slots__ = (
+        'claim',
         'fleet',
         'has_trouble',
         'lines',
@@ -71,13 +77,14 @@
         'version',
     )
 
-    def __init__(
-        self, prefix: str, folder: str, *, with_relays: bool = False
-    ) -> None:
+    def __init__(self, folder: str, *, with_relays: bool = False) -> None:
         """Initialize without a store, instances and upstreams."""
         self.lines: list[str] = []
         self.started_at = steady_seconds()
         path = pathlib.Path(folder)
+        network = claim_network()
+        prefix = network[0]
+        self.claim = network[1]
         self.fleet = Fleet(prefix, path, self.note, with_relays=with_relays)
         self.traffic = Traffic(self.fleet, self.note)
         self.served: StoreServer | None = None
@@ -99,7 +106,7 @@
     judge: Callable[[Scenario], int],
 ) -> int:
     """Play a case on eight instances; return the exit code of its script."""
-    code = asyncio.run(_run(scenario, play, judge))
+    code = asyncio.run(_run_in_time(scenario, play, judge))
     record.write_text(''.join(scenario.lines))
     return code
 
@@ -136,6 +143,22 @@
                 await put(scenario.served, 'servers', upstream.name, entry)
 
 
+async def _run_in_time(
+    scenario: Scenario,
+    play: Callable[[Scenario], Awaitable[None]],
+    judge: Callable[[Scenario], int],
+) -> int:
+    """Run a case; end its processes at the time limit or on SIGTERM."""
+    task = asyncio.ensure_future(_run(scenario, play, judge))
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, task.cancel)
+    with suppress(TimeoutError, asyncio.CancelledError):
+        return await asyncio.wait_for(task, LIMIT_SECONDS)
+    scenario.note('the case was ended')
+    return NOT_RUN
+
+
 async def _run(
     scenario: Scenario,
     play: Callable[[Scenario], Awaitable[None]],
--- a/review/stand_ins_2/traffic.py
+++ b/review/stand_ins_2/traffic.py
@@ -179,6 +179,7 @@
         raw = encode_packet(packet)
         key = f'{packet.source}{packet.destination}'.encode()
         instance = choose_instance(traffic.fleet, zone, key)
+        _note_sent(traffic, packet, instance.name)
         if traffic.random.random() >= traffic.lost_share:
             caller_socket.sendto(raw, (instance.address, DATA_PORT))
 
@@ -238,6 +239,7 @@
     flow = caller.flow_by_port.get(packet.destination[1]) if packet else None
     if packet is None or flow is None or packet.source != flow.endpoint:
         return
+    _note_received(traffic, packet)
     if packet.flags & RST:
         _judge_reset(traffic, packet, sender)
     # Both ends repeat the field that they received last on a flow.
@@ -246,6 +248,27 @@
     flow.inbox.put_nowait(packet)
 
 
+def _note_sent(traffic: Traffic, packet: Packet, instance: str) -> None:
+    port = packet.source[1]
+    if packet.flags & SYN:
+        traffic.note(f'port {port}: SYN sent to {instance}')
+    elif packet.payload:
+        request = packet.payload.decode()
+        traffic.note(f'port {port}: {request} sent to {instance}')
+
+
+def _note_received(traffic: Traffic, packet: Packet) -> None:
+    port = packet.destination[1]
+    if packet.flags & RST:
+        traffic.note(f'port {port}: reset received')
+    elif packet.flags & SYN:
+        traffic.note(f'port {port}: SYN+ACK received')
+    elif packet.payload[:1].isalnum():
+        # The first part of a response has the request and the upstream.
+        answer = packet.payload.decode().split()[:2]
+        traffic.note(f'port {port}: answered: {answer}')
+
+
 def _judge_reset(
     traffic: Traffic, packet: Packet, sender: tuple[str, int]
 ) -> None:
