Decode no entry whose numbers exceed their types

Cause: JSON integers have any length. `decode_upstream` limited `slots` only from below and `born` not at all. The load of a candidate is divided by its `slots`, and the error of one candidate ended the choice for all.

Evidence: on each instance logged 411 or more OverflowErrors in the callback that reads packets, `int too large to convert to float`, and one E108 of the task `upstreams`, `can't serialize ints`. All real upstreams had their E220, and no flow was refused (E610), so the list itself was read.

Change: `slots` has the limit of service files, 1,000,000; `born` and `seq` are 63-bit numbers without a sign. An entry beyond them names no upstream, as one with a missing field. `version`, `priority`, `weight` and `max_conns` of the configuration are limited to 63 bits. No error is caught anew: what passes the decoder fits arithmetic, encoders and the log.

Related paths read: `warmup_left_ms` and the other floats (the decoder rejects what a float cannot hold), host numbers in names (16 digits), domains out (a name only), service files (limited before), entries in messages between instances (64 bits at most, also from former releases).

--- a/marlbend/platform/objects.py
+++ b/marlbend/platform/objects.py
@@ -39,13 +39,21 @@
 _PORT_BYTES: Final = 2
 _MILLISECONDS_PER_SECOND: Final = 1000
 _HEXADECIMAL: Final = 16
+# The same limit as in service files.
+_MAX_SLOTS: Final = 1_000_000
+_MAX_SIGNED: Final = 9_223_372_036_854_775_807
 
 _Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=HOUR_MILLISECONDS)]
+_Slots = Annotated[int, msgspec.Meta(ge=1, le=_MAX_SLOTS)]
+# JSON has integers of any length, but instances pass them on in 64 bits, and
+# one above 10**308 cannot be converted to a float.
+_Whole = Annotated[int, msgspec.Meta(ge=0, le=_MAX_SIGNED)]
+_Signed = Annotated[int, msgspec.Meta(ge=-_MAX_SIGNED, le=_MAX_SIGNED)]
 
 
 class _Backend(msgspec.Struct):
     service: str
-    weight: Annotated[int, msgspec.Meta(ge=0)]
+    weight: _Whole
 
 
 class _Route(msgspec.Struct):
@@ -62,13 +70,13 @@
     backends: tuple[_Backend, ...] = ()
     target_latency_ms: float = 0
     # Zero is the highest priority.
-    priority: int = 0
+    priority: _Signed = 0
 
 
 class _Service(msgspec.Struct):
     name: str
     # The maximum of open flows of an upstream; steering by cookie ignores it.
-    max_conns: int = 0
+    max_conns: _Signed = 0
     # The new flows per second that a cold upstream can take (warm-up rate);
     # zero means no limit.
     warmup_per_s: float = 0
@@ -77,7 +85,7 @@
 
 
 class _OperatorConfiguration(msgspec.Struct):
-    version: int
+    version: _Signed
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...] = ()
 
@@ -87,17 +95,17 @@
     # upstream.
     service: str
     version: str
-    seq: int
+    seq: _Whole
     # An endpoint, ADDRESS:PORT.
     address: str
     # The failure domain.
     zone: str
     state: str
-    slots: Annotated[int, msgspec.Meta(ge=1)]
+    slots: _Slots
     # The remaining time until the upstream is warm, not the time elapsed.
     warmup_left_ms: _Milliseconds
     # When the upstream started, in milliseconds of the wall clock.
-    born: int = 0
+    born: _Whole = 0
 
 
 def decode_publication(stored: StoredObject) -> Publication | None:
