Send a SYN without a response to the same upstream first

Cause: when a SYN+ACK is lost, the instance sent the SYN to a second upstream. Which of the two holds the flow is known to instances alone; the first one repeats its SYN+ACK for 9.4 s, and the caller then echoes its cookie.

No flow has a second E600, and each instance knew all upstreams.

Change: a SYN goes to the same upstream three times before it goes to another one, unless the upstream has ended or three flows show that it is silent. At 1% of loss, one flow in a million has two upstreams for that reason, not one in a hundred. Only the first SYN of a flow counts as evidence against an upstream, so that no open flow is reset on less evidence than before. Repeated handshakes are not measured. The handling of SYNs moves from steer.py to handshake.py; `syn_repeated` counts what is sent again.

Tests: three new cases of steering.test failed before. `silent-upstream-gets-no- second-syn-of-a-flow` and `only-upstream-gets-a-limited-number-of-syns` limit the change.

--- a/marlbend/steering/flows.py
+++ b/marlbend/steering/flows.py
@@ -120,7 +120,8 @@
     flow: Flow,
     upstream: Upstream,
 ) -> None:
-    if flow.tried and upstream is flow.tried[0]:
+    # With more than one SYN, the handshake may belong to any of them.
+    if flow.tried == {upstream: 1}:
         record_handshake(steering, steering.now - flow.opened_at)
     flow.tried.clear()
     flow.pending_syn = None
--- a/marlbend/steering/state.py
+++ b/marlbend/steering/state.py
@@ -71,6 +71,7 @@
     REFUSED_CROWD = 13
     DROPPED_RESUMING = 14
     HELD = 15
+    SYN_REPEATED = 16
 
 
 @final
@@ -102,10 +103,11 @@
     is lost is described in `marlbend.steering.flows`.
 
     `pending_syn` is the SYN until the handshake completes, and `opened_at` is
-    when it arrived.  `tried` holds the upstreams to which the SYN was sent, and
-    is empty after the handshake.  `last_packet_at` is
-    when the caller's latest packet arrived or, before the handshake completes,
-    when the SYN was last forwarded.  Times are steady seconds.
+    when it arrived.  `tried` maps the upstreams to which the SYN was sent, the
+    latest one last, to how often it was sent to each; it is empty after the
+    handshake.  `last_packet_at` is when the caller's latest packet arrived or,
+    before the handshake completes, when the SYN was last forwarded.  Times are
+    steady seconds.
 
     `busy` is set while a request is in progress.  `unanswered_since` is when
     the oldest unacknowledged data was seen, zero if there is none, and
@@ -140,7 +142,7 @@
         """Create an idle flow of an upstream."""
         self.upstream = upstream
         self.pending_syn: Packet | None = None
-        self.tried: list[Upstream] = []
+        self.tried: dict[Upstream, int] = {}
         self.opened_at = now
         self.last_packet_at = now
         self.unanswered_since: float = 0
--- a/marlbend/steering/steer.py
+++ b/marlbend/steering/steer.py
@@ -4,15 +4,14 @@
 upstream's cookie.  Both ends echo the cookie in every later packet, so any
 instance can find the upstream of such a packet without shared flow state.
 
-A SYN that gets no response is sent to another upstream.  A flow whose upstream
-no longer answers is reset, so that the caller does not have to wait for a
-timeout.
+A SYN that gets no response is sent again, see `marlbend.steering.handshake`.  A
+flow whose upstream no longer answers is reset, so that the caller does not have
+to wait for a timeout.
 """
 
 from collections.abc import Callable
 from typing import Final
 
-from marlbend.steering.budgets import spend
 from marlbend.steering.failure_detection import (
     is_given_up,
     is_presumed_dead,
@@ -21,15 +20,13 @@
 from marlbend.steering.flows import (
     add_flow,
     is_repeated_syn,
-    move_flow,
     observe_packet,
     remove_flow,
-    set_busy,
 )
-from marlbend.steering.liveness import (
-    handshake_timeout,
-    record_probe,
-    record_unanswered,
+from marlbend.steering.handshake import (
+    forward_repeated_syn,
+    retry_handshake,
+    start_flow,
 )
 from marlbend.steering.packet import Packet
 from marlbend.steering.placement.admission import VerdictKind
@@ -46,16 +43,9 @@
     place_held_flow,
     record_expired_hold,
 )
-from marlbend.steering.placement.outstanding_work import (
-    NOT_STARTED,
-    begin_request,
-)
-from marlbend.steering.placement.slow_start import record_new_flow
 from marlbend.steering.reopened_flows import (
     ReopenedFlow,
-    add_reopened,
     confirm_cookie,
-    remove_reopened,
 )
 from marlbend.steering.routes import Route, pick_service
 from marlbend.steering.state import Flow, Outcome, Steering
@@ -63,10 +53,6 @@
 
 __all__ = ('make_receiver', 'retry_unanswered_syn')
 
-MAX_UPSTREAMS_TRIED: Final = 3
-# If the timer fires later than this, the process was paused, so a missing
-# response is not evidence against the upstream.
-MAX_TIMER_DELAY_SECONDS: Final = 0.015
 # A flow with an unknown cookie is reset after this long.  An upstream registers
 # before it gets its first flow, and its registration reaches every instance
 # within the time it takes to detect a watch that stopped responding.
@@ -102,7 +88,7 @@
 
 
 def retry_unanswered_syn(steering: Steering, key: bytes, due: float) -> None:
-    """Send a SYN to another upstream if the handshake has not completed.
+    """Send a SYN again if the handshake has not completed.
 
     `due` is the time for which this call was scheduled, in steady seconds.
     """
@@ -110,18 +96,8 @@
     if key in steering.estimates.held_flows.by_key:
         _check_held_flow(steering, key)
         return
-    if flow is None or flow.pending_syn is None:
-        return
-    now = steering.now
-    if now - due > MAX_TIMER_DELAY_SECONDS:
-        _schedule_retry(steering, flow)
-        return
-    record_unanswered(steering, flow.upstream, flow.last_packet_at)
-    # Beyond the budget the caller's next SYN tries another upstream.
-    if len(flow.tried) < MAX_UPSTREAMS_TRIED and spend(
-        steering.local_instance.budgets.reopenings, 1, now
-    ):
-        _try_another_upstream(steering, flow)
+    if flow is not None:
+        retry_handshake(steering, flow, due)
 
 
 def _reset_without_upstream(
@@ -145,7 +121,7 @@
     if flow is not None and (
         packet.attempt or is_repeated_syn(flow, packet, steering.now)
     ):
-        _handle_retransmitted_syn(steering, flow, packet)
+        forward_repeated_syn(steering, flow, packet)
         return
     remove_flow(steering, packet.flow_key)
     if packet.flow_key in steering.estimates.held_flows.by_key:
@@ -169,7 +145,7 @@
     elif is_overloaded(steering, route.spec, upstream):
         _use_ejected_or_refuse(steering, packet, route, service)
     else:
-        _start_flow(steering, packet, upstream)
+        start_flow(steering, packet, upstream)
 
 
 def _carry_out(
@@ -182,7 +158,7 @@
         steering.counts[Outcome.HELD] += 1
         _schedule_held_check(steering, packet.flow_key)
     elif verdict.kind is VerdictKind.ADMIT and upstream is not None:
-        _start_flow(steering, packet, upstream)
+        start_flow(steering, packet, upstream)
     elif verdict.reason == NO_UPSTREAM:
         _reset_without_upstream(steering, packet, Outcome.REFUSED_NO_UPSTREAM)
     else:
@@ -239,79 +215,7 @@
             )
         _reset_without_upstream(steering, packet, Outcome.REFUSED_CROWD)
     else:
-        _start_flow(steering, packet, ejected)
-
-
-def _start_flow(
-    steering: Steering,
-    packet: Packet,
-    upstream: Upstream,
-) -> None:
-    record_probe(steering, upstream)
-    flow = add_flow(steering, packet.flow_key, upstream)
-    flow.pending_syn = packet
-    flow.sequence = packet.sequence
-    set_busy(flow, busy=True)
-    begin_request(steering, flow, packet.endpoint, NOT_STARTED)
-    remove_reopened(steering.reopened_flows, packet.flow_key)
-    if packet.attempt:
-        # Another instance may have sent the first SYN to another upstream.
-        _report_reopened(steering, packet.flow_key)
-    _send_syn(steering, flow, Outcome.OPENED)
-
-
-def _handle_retransmitted_syn(
-    steering: Steering,
-    flow: Flow,
-    packet: Packet,
-) -> None:
-    """Forward a repeated SYN, or try another upstream.
-
-    The caller sends it again, or the network repeats it.
-    """
-    now = steering.now
-    if flow.pending_syn is None:
-        steering.callbacks.forward(packet, flow.upstream)
-    elif now - flow.last_packet_at > handshake_timeout(steering):
-        record_unanswered(steering, flow.upstream, flow.last_packet_at)
-        _try_another_upstream(steering, flow)
-
-
-def _try_another_upstream(steering: Steering, flow: Flow) -> None:
-    service = flow.upstream.entry.service
-    endpoint = flow.pending_syn.endpoint if flow.pending_syn else b''
-    upstream = choose_upstream(steering, service, flow.tried, endpoint)
-    if upstream is not None:
-        move_flow(flow, upstream)
-        _send_syn(steering, flow, Outcome.REOPENED)
-
-
-def _send_syn(steering: Steering, flow: Flow, outcome: Outcome) -> None:
-    packet = flow.pending_syn
-    if packet is None:
-        return
-    flow.last_packet_at = steering.now
-    flow.tried.append(flow.upstream)
-    if len(flow.tried) > 1:
-        _report_reopened(steering, packet.flow_key)
-    record_new_flow(steering, flow.upstream)
-    steering.counts[outcome] += 1
-    steering.callbacks.forward(packet, flow.upstream)
-    steering.callbacks.report_decision(
-        outcome, packet, flow.upstream, flow.tried
-    )
-    _schedule_retry(steering, flow)
-
-
-def _report_reopened(steering: Steering, key: bytes) -> None:
-    add_reopened(steering.reopened_flows, key, steering.now, steering.now)
-    steering.callbacks.gossip_reopened()
-
-
-def _schedule_retry(steering: Steering, flow: Flow) -> None:
-    if flow.pending_syn is not None:
-        delay = handshake_timeout(steering)
-        steering.callbacks.schedule_retry(delay, flow.pending_syn.flow_key)
+        start_flow(steering, packet, ejected)
 
 
 def _continue_flow(steering: Steering, packet: Packet, route: Route) -> None:
--- a/marlbend/test/test_steering.py
+++ b/marlbend/test/test_steering.py
@@ -49,6 +49,11 @@
         """Set the number of requests in progress at an upstream."""
         self.steering.pool.by_name[upstream].busy = int(busy)
 
+    def expect_unanswered(self, upstream: str, count: str) -> None:
+        """Check how many unanswered packets count against an upstream."""
+        known = self.steering.pool.by_name[upstream]
+        assert known.liveness.unanswered == int(count)
+
     def expect_partition(self, domain: str) -> None:
         """Check that a partition of a domain was detected."""
         assert domain in self.steering.partition_by_domain
