Log what the end of a missing upstream rests on

E222 with the reason `missing` now has `missing`, `recovered` and `unheard`, in seconds before; E301 has for how long nothing of the platform was heard. No decision changes.

--- a/marlbend/edge/maintenance.py
+++ b/marlbend/edge/maintenance.py
@@ -65,12 +65,29 @@
         )
         expire_flows(steering)
         register_kept_entries(steering)
-        confirmed = (
-            steering.platform_recovered_at,
-            steering.upstreams_confirmed_at,
+        _end_missing(steering)
+
+
+def _end_missing(steering: Steering) -> None:
+    """End upstreams that stayed missing, and log what this rests on.
+
+    `missing`, `recovered` and `unheard` are how many seconds ago the
+    registration went missing, the platform recovered from an outage, and it was
+    last heard.
+    """
+    now = steering.now
+    recovered_at = steering.platform_recovered_at
+    heard_at = steering.upstreams_confirmed_at
+    confirmed = (recovered_at, heard_at)
+    for ended in expire_upstreams(steering.pool, now, confirmed):
+        emit(
+            Event.UPSTREAM_ENDED,
+            upstream=ended.name,
+            reason='missing',
+            missing=round(now - ended.missing_since, 2),
+            recovered=round(now - recovered_at, 2) if recovered_at > 0 else -1,
+            unheard=round(now - heard_at, 2),
         )
-        for ended in expire_upstreams(steering.pool, steering.now, confirmed):
-            emit(Event.UPSTREAM_ENDED, upstream=ended.name, reason='missing')
 
 
 def make_change_logger(steering: Steering) -> Callable[[], None]:
--- a/marlbend/topics/reader.py
+++ b/marlbend/topics/reader.py
@@ -369,11 +369,17 @@
     watcher: TopicWatcher, revision: int, confirmed_at: float
 ) -> None:
     gossip = watcher.gossip
+    heard_at = gossip.confirmed_at_by_topic[watcher.topic]
     confirm_revision(gossip, watcher.topic, revision, confirmed_at)
     gossip.myself.can_read = not gossip.is_leaving
     if watcher.platform_lost:
-        record_recovery(gossip, watcher.topic, steady_seconds())
-        emit(Event.PLATFORM_RECOVERED, kind=watcher.topic.name.lower())
+        now = steady_seconds()
+        record_recovery(gossip, watcher.topic, now)
+        emit(
+            Event.PLATFORM_RECOVERED,
+            kind=watcher.topic.name.lower(),
+            unheard=round(now - heard_at, 2) if heard_at > 0 else -1,
+        )
     watcher.platform_lost = False
     watcher.retry_delay = 0
 
