Move the state and the failures of a reader to a module of their own

`TopicWatcher`, the delay of retries and what follows a failed call are now in marlbend/topics/watcher.py.

--- a/marlbend/test/test_overload.py
+++ b/marlbend/test/test_overload.py
@@ -15,7 +15,7 @@
 from marlbend.steering.members import merge_member
 from marlbend.test.simulation import FleetSimulation
 from marlbend.topics.knowledge import Topic
-from marlbend.topics.reader import (
+from marlbend.topics.watcher import (
     FLEET_RETRIES_PER_SECOND,
     TopicWatcher,
     find_retry_delay,
--- a/marlbend/topics/reader.py
+++ b/marlbend/topics/reader.py
@@ -11,8 +11,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
-from random import Random
-from typing import Final, TypeVar, final
+from typing import Final, TypeVar
 
 import msgspec
 
@@ -21,7 +20,7 @@
 from marlbend.errorcodes import ErrorKind
 from marlbend.errors import MarlbendError
 from marlbend.events import Event, emit
-from marlbend.http import ClientResponse, Connection
+from marlbend.http import ClientResponse
 from marlbend.platform.client import expect_status, read_era
 from marlbend.platform.pages import (
     ObjectChange,
@@ -31,17 +30,13 @@
 )
 from marlbend.platform.paths import list_path, watch_path
 from marlbend.steering.budgets import (
-    TokenBucket,
     seconds_until_available,
     spend_any,
 )
 from marlbend.steering.documents import Publication
 from marlbend.steering.gossip import (
-    GossipState,
-    list_live_members,
     should_read_platform,
 )
-from marlbend.steering.state import Steering
 from marlbend.steering.upstreams import has_missing
 from marlbend.topics.changes import encode_changes, encode_publication_change
 from marlbend.topics.contents import (
@@ -52,11 +47,17 @@
     Topic,
     confirm_revision,
     enter_era,
-    record_recovery,
+)
+from marlbend.topics.watcher import (
+    TopicWatcher,
+    end_failure,
+    find_retry_delay,
+    no_changes,
+    record_failure,
 )
 from marlbend.wire.heartbeats import TopicChanges
 
-__all__ = ('TopicWatcher', 'find_retry_delay', 'watch_topic')
+__all__ = ('TopicWatcher', 'watch_topic')
 
 _Decoded = TypeVar('_Decoded')
 # The objects of a topic, the store revision and the era.
@@ -74,17 +75,6 @@
 # Delay after a watch that returned changes, so that changes in quick succession
 # are read with one call.
 BATCH_SECONDS: Final = 0.3
-# The delay after a failed call doubles from the first value up to the second.
-INITIAL_RETRY_SECONDS: Final = 0.1
-MAX_RETRY_SECONDS: Final = 1.0
-# While the store is away, all instances together retry this often for each
-# topic.  One that succeeds tells the others.
-FLEET_RETRIES_PER_SECOND: Final = 50.0
-# Calls for one topic: more than a storm of changes makes, and less than a loop
-# without a pause.  If 300 instances read all topics at once, they make 3,600 of
-# the 6,000 calls that the platform allows them in a second.
-CALLS_PER_SECOND: Final = 4.0
-CALLS_AT_ONCE: Final = 8.0
 # An instance that does not read checks this often whether it has to.
 READER_CHECK_SECONDS: Final = 0.1
 
@@ -92,60 +82,6 @@
 _GONE: Final = 410
 
 
-@final
-class TopicWatcher:
-    """Hold the state of reading one topic.
-
-    `watch_from_revision` is the revision after which the next watch starts.  It
-    is zero until a list has been read here or another instance has reported a
-    revision by gossip; in the latter case no list is read first.
-    `list_needed` is set if the store no longer has the changes since then, or
-    if the last response held more changes than the topic has objects, so that a
-    list would have been shorter.  `platform_lost` is set while calls fail, and
-    `retry_delay` is the delay after the last failure, in seconds.  `announce`
-    is called with the changes that the platform reported, or with no changes
-    after a list or when calls begin to fail.  `era` is the era of the store
-    that `watch_from_revision` belongs to.  `calls` limits the calls.
-    """
-
-    __slots__ = (
-        'announce',
-        'calls',
-        'connection',
-        'era',
-        'gossip',
-        'list_needed',
-        'platform_lost',
-        'random',
-        'retry_delay',
-        'steering',
-        'topic',
-        'watch_from_revision',
-    )
-
-    def __init__(
-        self,
-        topic: Topic,
-        connection: Connection,
-        steering: Steering,
-        gossip: GossipState,
-        announce: Callable[[TopicChanges], None],
-    ) -> None:
-        """Start without a list."""
-        self.topic = topic
-        self.connection = connection
-        self.steering = steering
-        self.gossip = gossip
-        self.announce = announce
-        self.random: Random = steering.random
-        self.watch_from_revision = 0
-        self.era = 0
-        self.calls = TokenBucket(CALLS_PER_SECOND, CALLS_AT_ONCE)
-        self.list_needed = False
-        self.platform_lost = False
-        self.retry_delay: float = 0
-
-
 async def watch_topic(watcher: TopicWatcher) -> None:
     """Read the topic whenever this instance should, until cancelled."""
     while True:
@@ -160,21 +96,11 @@
         try:
             await _read_once(watcher)
         except MarlbendError as error:
-            _record_failure(watcher, error)
+            record_failure(watcher, error)
             delay = find_retry_delay(watcher)
             await asyncio.sleep(delay * watcher.random.uniform(0.5, 1))
 
 
-def find_retry_delay(watcher: TopicWatcher) -> float:
-    """Return the delay after a failed call, in seconds.
-
-    It grows with the instances that this one hears from, since each of them
-    retries as well.  An instance that hears from nobody relies on itself.
-    """
-    live = sum(1 for _ in list_live_members(watcher.gossip, steady_seconds()))
-    return max(watcher.retry_delay, live / FLEET_RETRIES_PER_SECOND)
-
-
 async def _read_once(watcher: TopicWatcher) -> None:
     known_revision = watcher.gossip.revision_by_topic[watcher.topic]
     known_era = watcher.gossip.era_by_topic[watcher.topic]
@@ -258,7 +184,7 @@
     is_restored = known_revision > 0
     apply_list(watcher.steering, topic, listed, is_restored=is_restored)
     enter_era(gossip, topic, era, revision)
-    return _no_changes(watcher, revision)
+    return no_changes(watcher, revision)
 
 
 async def _read_pages(watcher: TopicWatcher) -> _Pages | None:
@@ -369,19 +295,10 @@
     watcher: TopicWatcher, revision: int, confirmed_at: float
 ) -> None:
     gossip = watcher.gossip
-    heard_at = gossip.confirmed_at_by_topic[watcher.topic]
+    if watcher.platform_lost:
+        end_failure(watcher, steady_seconds())
     confirm_revision(gossip, watcher.topic, revision, confirmed_at)
     gossip.myself.can_read = not gossip.is_leaving
-    if watcher.platform_lost:
-        now = steady_seconds()
-        record_recovery(gossip, watcher.topic, now)
-        emit(
-            Event.PLATFORM_RECOVERED,
-            kind=watcher.topic.name.lower(),
-            unheard=round(now - heard_at, 2) if heard_at > 0 else -1,
-        )
-    watcher.platform_lost = False
-    watcher.retry_delay = 0
 
 
 def _describe_list(
@@ -392,17 +309,12 @@
 ) -> TopicChanges:
     """Return what a list changed, or no changes if only the list tells."""
     if watcher.topic is not Topic.CONFIGURATION or not known_revision:
-        return _no_changes(watcher, revision)
+        return no_changes(watcher, revision)
     body = _encode_body(watcher, previous, ())
     era = watcher.gossip.era_by_topic[watcher.topic]
     return TopicChanges(watcher.topic, known_revision, revision, body, era)
 
 
-def _no_changes(watcher: TopicWatcher, revision: int) -> TopicChanges:
-    """Return changes that lead nowhere, for heartbeats without any."""
-    return TopicChanges(watcher.topic, revision, revision, b'')
-
-
 def _encode_body(
     watcher: TopicWatcher,
     previous: Publication,
@@ -449,17 +361,3 @@
                 name='objects', reason=error
             ),
         ) from None
-
-
-def _record_failure(watcher: TopicWatcher, error: MarlbendError) -> None:
-    if not watcher.platform_lost:
-        kind = watcher.topic.name.lower()
-        emit(Event.PLATFORM_UNAVAILABLE, kind=kind, error=error)
-    watcher.platform_lost = True
-    if watcher.gossip.myself.can_read:
-        watcher.gossip.myself.can_read = False
-        # Heartbeats sent now make another instance the reader sooner.
-        revision = watcher.gossip.revision_by_topic[watcher.topic]
-        watcher.announce(_no_changes(watcher, revision))
-    next_delay = max(watcher.retry_delay * 2, INITIAL_RETRY_SECONDS)
-    watcher.retry_delay = min(next_delay, MAX_RETRY_SECONDS)
--- a/soak/calls.py
+++ b/soak/calls.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 from marlbend.topics.knowledge import Topic
-from marlbend.topics.reader import CALLS_AT_ONCE, CALLS_PER_SECOND
+from marlbend.topics.watcher import CALLS_AT_ONCE, CALLS_PER_SECOND
 from soak.checker import report
 from soak.run_state import Run
 
