Take failed calls of one instance for no outage of the platform

Cause, one of three found on this path: any call that failed at any instance counted as an outage, from when that instance's calls succeeded again. An instance calls again only when it has to read, which may be after the next reader is lost. Heartbeats carry the time of the recovery to all, and each counts the 2.2 s of a missing upstream from then on.

Change: an instance records a recovery, its own or a reported one, only if it heard nothing of the platform for 2 s before. Its own counts only if nobody else heard the platform since its call failed. One that knew nothing yet has no registration that could have lapsed.

Why it works: a registration lapses after 3.6 s without a write, and is written every 1.2 s, so an outage below 2 s ends hardly any.

Related paths read: `platform_recovered_at` and E301 have no other reader; ages of confirmation and eras have clocks of their own.

--- a/marlbend/topics/knowledge.py
+++ b/marlbend/topics/knowledge.py
@@ -32,6 +32,9 @@
     'update_revision',
 )
 
+# An upstream writes its registration every 1.2 s, and it lapses after 3.6 s, so
+# hardly any lapses in a shorter outage.
+OUTAGE_SECONDS: Final = 2.0
 _CLOCK_BYTES: Final = 4
 _MILLISECONDS_PER_SECOND: Final = 1000
 
@@ -71,9 +74,11 @@
     the instance that read it from the platform.  `clock` identifies the clock
     of this instance, and `reader_clocks` holds the offsets of others.
     `recovered_at_by_topic` is when the platform answered for the first time
-    after a failed call.  Times are steady seconds.  Above the age in
-    `staleness_limit_by_topic`, in seconds, the instance reads the platform
-    directly.  `transfers_by_topic` counts the updates.
+    after an outage.  `silence_by_topic` is the latest interval of more than
+    `OUTAGE_SECONDS` in which nothing of the platform was heard.  Times are
+    steady seconds.  Above the age in `staleness_limit_by_topic`, in seconds,
+    the instance reads the platform directly.  `transfers_by_topic` counts the
+    updates.
     """
 
     __slots__ = (
@@ -85,6 +90,7 @@
         'recent_changes',
         'recovered_at_by_topic',
         'revision_by_topic',
+        'silence_by_topic',
         'staleness_limit_by_topic',
         'transfers_by_topic',
     )
@@ -100,6 +106,7 @@
         self.confirmed_at_by_topic = dict.fromkeys(Topic, float('-inf'))
         self.recent_changes = RecentChanges()
         self.recovered_at_by_topic = dict.fromkeys(Topic, float('-inf'))
+        self.silence_by_topic: dict[Topic, tuple[float, float]] = {}
         self.transfers_by_topic = {topic: TopicTransfers() for topic in Topic}
 
 
@@ -115,7 +122,10 @@
     Without a `confirmation`, this instance read it from the platform.
     """
     knowledge.revision_by_topic[topic] = revision
-    if confirmed_at > knowledge.confirmed_at_by_topic[topic]:
+    previous = knowledge.confirmed_at_by_topic[topic]
+    if confirmed_at > previous:
+        if OUTAGE_SECONDS < confirmed_at - previous < float('inf'):
+            knowledge.silence_by_topic[topic] = (previous, confirmed_at)
         knowledge.confirmed_at_by_topic[topic] = confirmed_at
         knowledge.confirmation_by_topic[topic] = confirmation or Confirmation(
             knowledge.clock, confirmed_at
@@ -166,10 +176,34 @@
 
 def record_recovery(
     knowledge: Knowledge, topic: Topic, recovered_at: float
-) -> None:
-    """Record when the platform answered again after a failed call."""
+) -> bool:
+    """Record when calls to the platform succeeded again, here or elsewhere.
+
+    Return whether there was an outage.  There was none if the platform was
+    heard shortly before: then an instance failed to reach it.  Nor does it
+    concern an instance that knew nothing yet.
+    """
+    if not _was_silent(knowledge, topic, recovered_at):
+        return False
     previous = knowledge.recovered_at_by_topic[topic]
     knowledge.recovered_at_by_topic[topic] = max(previous, recovered_at)
+    return True
+
+
+def _was_silent(knowledge: Knowledge, topic: Topic, until: float) -> bool:
+    """Return whether nothing of the platform was heard for long before a time.
+
+    It may have been heard since, from an instance whose calls never failed.
+    """
+    heard_at = knowledge.confirmed_at_by_topic[topic]
+    if heard_at == float('-inf'):
+        return False
+    since, ended_at = knowledge.silence_by_topic.get(
+        topic, (heard_at, heard_at)
+    )
+    if until - heard_at > OUTAGE_SECONDS:
+        return True
+    return since + OUTAGE_SECONDS < until <= ended_at + OUTAGE_SECONDS
 
 
 def is_applicable(knowledge: Knowledge, changes: TopicChanges) -> bool:
--- a/marlbend/topics/reader.py
+++ b/marlbend/topics/reader.py
@@ -295,7 +295,8 @@
     watcher: TopicWatcher, revision: int, confirmed_at: float
 ) -> None:
     gossip = watcher.gossip
-    if watcher.platform_lost:
+    # What was heard before this response tells whether there was an outage.
+    if watcher.failed_at:
         end_failure(watcher, steady_seconds())
     confirm_revision(gossip, watcher.topic, revision, confirmed_at)
     gossip.myself.can_read = not gossip.is_leaving
--- a/marlbend/topics/watcher.py
+++ b/marlbend/topics/watcher.py
@@ -48,11 +48,12 @@
     revision by gossip; in the latter case no list is read first.
     `list_needed` is set if the store no longer has the changes since then, or
     if the last response held more changes than the topic has objects, so that a
-    list would have been shorter.  `platform_lost` is set while calls fail, and
-    `retry_delay` is the delay after the last failure, in seconds.  `announce`
-    is called with the changes that the platform reported, or with no changes
-    after a list or when calls begin to fail.  `era` is the era of the store
-    that `watch_from_revision` belongs to.  `calls` limits the calls.
+    list would have been shorter.  `failed_at` is when calls began to fail, zero
+    while they succeed, and `retry_delay` is the delay after the last failure,
+    in seconds.  `announce` is called with the changes that the platform
+    reported, or with no changes after a list or when calls begin to fail.
+    `era` is the era of the store that `watch_from_revision` belongs to.
+    `calls` limits the calls.
     """
 
     __slots__ = (
@@ -60,9 +61,9 @@
         'calls',
         'connection',
         'era',
+        'failed_at',
         'gossip',
         'list_needed',
-        'platform_lost',
         'random',
         'retry_delay',
         'steering',
@@ -89,7 +90,7 @@
         self.era = 0
         self.calls = TokenBucket(CALLS_PER_SECOND, CALLS_AT_ONCE)
         self.list_needed = False
-        self.platform_lost = False
+        self.failed_at: float = 0
         self.retry_delay: float = 0
 
 
@@ -105,10 +106,10 @@
 
 def record_failure(watcher: TopicWatcher, error: MarlbendError) -> None:
     """Note that a call failed, and tell the others of the first one."""
-    if not watcher.platform_lost:
+    if not watcher.failed_at:
         kind = watcher.topic.name.lower()
         emit(Event.PLATFORM_UNAVAILABLE, kind=kind, error=error)
-        watcher.platform_lost = True
+        watcher.failed_at = steady_seconds()
     if watcher.gossip.myself.can_read:
         watcher.gossip.myself.can_read = False
         # Heartbeats sent now make another instance the reader sooner.
@@ -119,16 +120,20 @@
 
 
 def end_failure(watcher: TopicWatcher, now: float) -> None:
-    """Record that calls succeed again."""
+    """Record that calls succeed again, and whether the platform was out."""
     gossip = watcher.gossip
-    heard_at = gossip.confirmed_at_by_topic[watcher.topic]
-    record_recovery(gossip, watcher.topic, now)
+    topic = watcher.topic
+    heard_at = gossip.confirmed_at_by_topic[topic]
+    was_out = heard_at < watcher.failed_at and record_recovery(
+        gossip, topic, now
+    )
     emit(
         Event.PLATFORM_RECOVERED,
-        kind=watcher.topic.name.lower(),
+        kind=topic.name.lower(),
         unheard=round(now - heard_at, 2) if heard_at > 0 else -1,
+        outage=was_out,
     )
-    watcher.platform_lost = False
+    watcher.failed_at = 0
     watcher.retry_delay = 0
 
 
