Ask the platform whether a missing upstream is gone when the reader may be lost

Change: at the end of the 2.2 s, an instance that has not heard the platform watches it for 0.05 s itself, and the response ends the upstream or brings it back. In an outage the call fails and the wait goes on, as before. A check every 0.1 s while upstreams are missing replaces that of the maintenance, which came up to half a second late.

Why it works: the wait protects upstreams whose registration lapsed in an outage until the platform answers. So whoever needs the answer asks for it, and it no longer matters which instance is lost or whether an outage was seen.

Related paths read: domains that return wait on the same confirmation, but the bound of that wait protects cold upstreams, and a late return breaks no rule; held entries after a return from a copy wait for 10 s on it, likewise.

--- a/marlbend/edge/maintenance.py
+++ b/marlbend/edge/maintenance.py
@@ -28,13 +28,21 @@
 from marlbend.steering.placement.contention import list_contended
 from marlbend.steering.placement.method import keeps_estimates
 from marlbend.steering.upstream_expiry import ENDED_SECONDS, expire_upstreams
+from marlbend.steering.upstreams import has_missing
 from marlbend.steering.upstreams_restored import keep_domain_cold
 from marlbend.topics.contents import register_kept_entries
 from marlbend.topics.knowledge import Topic
 
-__all__ = ('make_change_logger', 'restore_domains', 'run_maintenance')
+__all__ = (
+    'end_missing_upstreams',
+    'make_change_logger',
+    'restore_domains',
+    'run_maintenance',
+)
 
 MAINTENANCE_INTERVAL_SECONDS: Final = 0.5
+# While upstreams are missing, these are checked this often.
+EXPIRY_CHECK_SECONDS: Final = 0.1
 CONTROL_LOG_ROUNDS: Final = 20
 
 
@@ -50,12 +58,7 @@
         if not round_number % CONTROL_LOG_ROUNDS:
             _log_control_traffic(node.traffic, logged_bytes)
         log_changes()
-        steering.upstreams_confirmed_at = gossip.confirmed_at_by_topic[
-            Topic.UPSTREAMS
-        ]
-        steering.platform_recovered_at = gossip.recovered_at_by_topic[
-            Topic.UPSTREAMS
-        ]
+        _copy_confirmations(node)
         restore_domains(steering)
         if steering.now - node.started_at > ENDED_SECONDS:
             steering.pool.knows_ended = True
@@ -68,6 +71,34 @@
         _end_missing(steering)
 
 
+async def end_missing_upstreams(node: GossipNode) -> None:
+    """End each upstream soon after it has been missing for too long.
+
+    A round of maintenance takes longer, and may be half a second late.
+    """
+    steering = node.steering
+    while True:
+        is_missing = has_missing(steering.pool)
+        if is_missing:
+            steering.now = steady_seconds()
+            _copy_confirmations(node)
+            _end_missing(steering)
+        await asyncio.sleep(
+            EXPIRY_CHECK_SECONDS if is_missing else MAINTENANCE_INTERVAL_SECONDS
+        )
+
+
+def _copy_confirmations(node: GossipNode) -> None:
+    steering = node.steering
+    gossip = node.gossip
+    steering.upstreams_confirmed_at = gossip.confirmed_at_by_topic[
+        Topic.UPSTREAMS
+    ]
+    steering.platform_recovered_at = gossip.recovered_at_by_topic[
+        Topic.UPSTREAMS
+    ]
+
+
 def _end_missing(steering: Steering) -> None:
     """End upstreams that stayed missing, and log what this rests on.
 
--- a/marlbend/edge/wiring.py
+++ b/marlbend/edge/wiring.py
@@ -14,7 +14,7 @@
 from marlbend import VERSION
 from marlbend.clock import steady_seconds
 from marlbend.edge.decision_log import make_decision_logger
-from marlbend.edge.maintenance import run_maintenance
+from marlbend.edge.maintenance import end_missing_upstreams, run_maintenance
 from marlbend.edge.peers import (
     GossipNode,
     announce_departure,
@@ -143,6 +143,7 @@
     yield run_forever('heartbeats', partial(send_heartbeats, node))
     yield run_forever('settings', partial(watch_settings, instance))
     yield run_forever('maintenance', partial(run_maintenance, node))
+    yield run_forever('missing', partial(end_missing_upstreams, node))
 
 
 def _make_watchers(
--- a/marlbend/steering/upstream_expiry.py
+++ b/marlbend/steering/upstream_expiry.py
@@ -13,7 +13,7 @@
     remove_upstream,
 )
 
-__all__ = ('ENDED_SECONDS', 'expire_upstreams')
+__all__ = ('ENDED_SECONDS', 'expire_upstreams', 'needs_confirmation')
 
 # While more than this share of all registrations is missing, they may have
 # expired in an outage of the platform that nobody noticed.
@@ -35,7 +35,7 @@
     time within this interval counts.  For any other, all time counts, also if
     the instance that reads the platform for the others is lost meanwhile.
     """
-    latest = confirmed[1] if _are_most_missing(pool) else now
+    latest = _find_latest(pool, now, confirmed)
     for known in tuple(pool.by_name.values()):
         expire_reports(known.reports, now)
         if known.ended_at:
@@ -46,6 +46,36 @@
             yield known
 
 
+def needs_confirmation(
+    pool: UpstreamPool, now: float, confirmed: tuple[float, float]
+) -> bool:
+    """Return whether an upstream would end if the platform answered now.
+
+    `confirmed` is as in `expire_upstreams`.
+    """
+    missing = [
+        known
+        for known in pool.by_name.values()
+        if known.missing_since and not known.ended_at
+    ]
+    if not missing:
+        return False
+    latest = _find_latest(pool, now, confirmed)
+    heard_now = (confirmed[0], now)
+    return any(
+        _has_stayed_missing(pool, known, heard_now, now)
+        and not _has_stayed_missing(pool, known, confirmed, latest)
+        for known in missing
+    )
+
+
+def _find_latest(
+    pool: UpstreamPool, now: float, confirmed: tuple[float, float]
+) -> float:
+    """Return up to when time counts without an outage."""
+    return confirmed[1] if _are_most_missing(pool) else now
+
+
 def _has_stayed_missing(
     pool: UpstreamPool,
     known: Upstream,
--- a/marlbend/test/test_missing_upstreams.py
+++ b/marlbend/test/test_missing_upstreams.py
@@ -6,7 +6,10 @@
 
 import pytest
 
-from marlbend.steering.upstream_expiry import expire_upstreams
+from marlbend.steering.upstream_expiry import (
+    expire_upstreams,
+    needs_confirmation,
+)
 from marlbend.steering.upstreams import (
     MISSING_SECONDS,
     REWRITE_SECONDS,
@@ -70,3 +73,21 @@
     pool = make_pool()
     lose_registration(pool, 'a1', REMOVED_AT)
     assert not list_ended(pool, 100, RECOVERED_LONG_AGO)
+
+
+@pytest.mark.parametrize(
+    ('seconds', 'recovered_at', 'is_needed'),
+    (
+        (MISSING_SECONDS + 0.1, REMOVED_AT - 1, True),
+        (MISSING_SECONDS - 0.1, REMOVED_AT - 1, False),
+        (MISSING_SECONDS + 0.1, RECOVERED_LONG_AGO, False),
+    ),
+)
+def test_confirmation_is_needed_only_after_an_outage(
+    seconds: float, recovered_at: float, *, is_needed: bool
+) -> None:
+    """Without one, all instances would read whenever an upstream ends."""
+    pool = make_pool('a1')
+    now = REMOVED_AT + seconds
+    confirmed = (recovered_at, HEARD_UNTIL)
+    assert needs_confirmation(pool, now, confirmed) is is_needed
--- a/marlbend/topics/reader.py
+++ b/marlbend/topics/reader.py
@@ -37,6 +37,7 @@
 from marlbend.steering.gossip import (
     should_read_platform,
 )
+from marlbend.steering.upstream_expiry import needs_confirmation
 from marlbend.steering.upstreams import has_missing
 from marlbend.topics.changes import encode_changes, encode_publication_change
 from marlbend.topics.contents import (
@@ -72,6 +73,8 @@
 LIST_TIMEOUT_SECONDS: Final = 2.0
 # Limits the delay in noticing that an upstream stays missing.
 MISSING_CHECK_SECONDS: Final = 0.5
+# A watch that only confirms what is known, so it needs no wait.
+CONFIRMATION_WAIT_SECONDS: Final = 0.05
 # Delay after a watch that returned changes, so that changes in quick succession
 # are read with one call.
 BATCH_SECONDS: Final = 0.3
@@ -85,9 +88,7 @@
 async def watch_topic(watcher: TopicWatcher) -> None:
     """Read the topic whenever this instance should, until cancelled."""
     while True:
-        if not should_read_platform(
-            watcher.gossip, watcher.topic, steady_seconds()
-        ):
+        if not _should_read(watcher, steady_seconds()):
             await asyncio.sleep(READER_CHECK_SECONDS)
             continue
         await asyncio.sleep(
@@ -101,6 +102,28 @@
             await asyncio.sleep(delay * watcher.random.uniform(0.5, 1))
 
 
+def _should_read(watcher: TopicWatcher, now: float) -> bool:
+    return should_read_platform(
+        watcher.gossip, watcher.topic, now
+    ) or _is_confirmation_due(watcher, now)
+
+
+def _is_confirmation_due(watcher: TopicWatcher, now: float) -> bool:
+    """Return whether an upstream ends once the platform answers.
+
+    The reader may be lost, and the others would notice it too late for an
+    upstream that should get no new flow any more.
+    """
+    topic = watcher.topic
+    confirmed = (
+        watcher.gossip.recovered_at_by_topic[topic],
+        watcher.gossip.confirmed_at_by_topic[topic],
+    )
+    return topic is Topic.UPSTREAMS and needs_confirmation(
+        watcher.steering.pool, now, confirmed
+    )
+
+
 async def _read_once(watcher: TopicWatcher) -> None:
     known_revision = watcher.gossip.revision_by_topic[watcher.topic]
     known_era = watcher.gossip.era_by_topic[watcher.topic]
@@ -222,8 +245,10 @@
     if watcher.topic is Topic.UPSTREAMS and has_missing(watcher.steering.pool):
         # Only a response confirms that a registration is still missing.
         wait_seconds = min(wait_seconds, MISSING_CHECK_SECONDS)
-    path = watch_path(watcher.topic, watcher.watch_from_revision, wait_seconds)
     requested_at = steady_seconds()
+    if _is_confirmation_due(watcher, requested_at):
+        wait_seconds = CONFIRMATION_WAIT_SECONDS
+    path = watch_path(watcher.topic, watcher.watch_from_revision, wait_seconds)
     response = await _call(watcher, path, wait_seconds + WATCH_GRACE_SECONDS)
     if response.status == _GONE or read_era(response) > watcher.era:
         watcher.list_needed = True
