Count a removal that is read late from when the platform was last heard

Cause, three of three on this path: the 2.2 s of a missing upstream began when an instance read the removal, up to 2.25 s after it happened.

Change: what a watch returns without a wait, and what a list lacks, may be as old as the last confirmation, and counts from then. Changes that are passed on carry that as `delay`. An instance that fetches a whole list counts from its own last confirmation. Changes that came while a watch waited count from their receipt, as before, so in the usual case nothing changes. While calls fail and nobody hears the platform, no time is added: it counts from the recovery.

Related paths read: changes and lists of all three topics, read and passed on. Domains out have their own bound of 5 s and no wait. What a copy of the store lacks still counts from its return.

--- a/marlbend/steering/upstreams.py
+++ b/marlbend/steering/upstreams.py
@@ -19,6 +19,7 @@
     'Upstream',
     'UpstreamPool',
     'UpstreamWork',
+    'backdate_missing',
     'derive_cookie',
 )
 
@@ -268,6 +269,20 @@
     return True
 
 
+def backdate_missing(
+    pool: UpstreamPool, noticed_at: float, since: float
+) -> None:
+    """Let registrations count as missing since before that was noticed.
+
+    `noticed_at` is when the update began that lacked them.  What a copy of the
+    store lacks counts from its return.
+    """
+    since = max(since, noticed_at - REWRITE_SECONDS)
+    for known in pool.by_name.values():
+        if known.missing_since >= noticed_at and known.name not in pool.lost:
+            known.missing_since = min(known.missing_since, since)
+
+
 def has_missing(pool: UpstreamPool) -> bool:
     """Return whether any registration is missing but has not ended."""
     return any(
--- a/marlbend/topics/changes.py
+++ b/marlbend/topics/changes.py
@@ -23,6 +23,7 @@
 from marlbend.steering.gossip import GossipState
 from marlbend.steering.routes import change_publication, compare_publications
 from marlbend.steering.state import Steering
+from marlbend.steering.upstreams import backdate_missing
 from marlbend.topics.contents import (
     apply_domain_states,
     apply_publication,
@@ -45,6 +46,7 @@
     'encode_publication_change',
 )
 
+_MILLISECONDS_PER_SECOND: Final = 1000
 _ENCODER: Final = msgspec.msgpack.Encoder()
 _PUBLICATION_CHANGE: Final = msgspec.msgpack.Decoder(PublicationChange)
 _ENTRIES: Final = msgspec.msgpack.Decoder(dict[str, UpstreamEntry | None])
@@ -102,8 +104,10 @@
 def _apply(steering: Steering, changes: TopicChanges, sender: str) -> bool:
     """Apply changes; return whether they start at what is known."""
     topic = Topic(changes.topic)
+    noticed_at = steady_seconds()
+    since = noticed_at - changes.delay / _MILLISECONDS_PER_SECOND
     try:
-        return _APPLY_BY_TOPIC[topic](steering, changes.body)
+        is_applied = _APPLY_BY_TOPIC[topic](steering, changes.body)
     except msgspec.DecodeError as error:
         # The known revision stays as it is, so the topic is fetched.
         emit(
@@ -113,6 +117,8 @@
             kind=topic.name.lower(),
         )
         return False
+    backdate_missing(steering.pool, noticed_at, since)
+    return is_applied
 
 
 def _record_unusable(
--- a/marlbend/topics/fetching.py
+++ b/marlbend/topics/fetching.py
@@ -27,6 +27,7 @@
 from marlbend.steering.budgets import spend_any
 from marlbend.steering.gossip import GossipState
 from marlbend.steering.members import age_in_milliseconds
+from marlbend.steering.upstreams import backdate_missing
 from marlbend.topics.changes import apply_peer_changes
 from marlbend.topics.contents import (
     apply_topic,
@@ -252,7 +253,10 @@
 
 
 def _apply_whole(node: GossipNode, topic: Topic, reply: _TopicReply) -> None:
-    """Apply the contents of a topic; they may be the first of a new era."""
+    """Apply the contents of a topic; they may be the first of a new era.
+
+    Otherwise what they lack may be gone since the platform was last heard.
+    """
     gossip = node.gossip
     body = reply.topic_contents
     if reply.is_compressed:
@@ -260,10 +264,13 @@
     topic_contents = decode_topic(topic, body)
     has_returned = reply.era > gossip.era_by_topic[topic]
     is_restored = has_returned and gossip.revision_by_topic[topic] > 0
+    noticed_at = steady_seconds()
+    heard_at = gossip.confirmed_at_by_topic[topic]
     apply_topic(node.steering, topic, topic_contents, is_restored=is_restored)
     if has_returned:
         enter_era(gossip, topic, reply.era, reply.revision)
     else:
+        backdate_missing(node.steering.pool, noticed_at, heard_at)
         update_revision(gossip, topic, reply.revision)
 
 
--- a/marlbend/topics/reader.py
+++ b/marlbend/topics/reader.py
@@ -38,7 +38,7 @@
     should_read_platform,
 )
 from marlbend.steering.upstream_expiry import needs_confirmation
-from marlbend.steering.upstreams import has_missing
+from marlbend.steering.upstreams import backdate_missing, has_missing
 from marlbend.topics.changes import encode_changes, encode_publication_change
 from marlbend.topics.contents import (
     apply_list,
@@ -52,6 +52,7 @@
 from marlbend.topics.watcher import (
     TopicWatcher,
     end_failure,
+    find_change_delay,
     find_retry_delay,
     no_changes,
     record_failure,
@@ -82,6 +83,7 @@
 READER_CHECK_SECONDS: Final = 0.1
 
 _OK: Final = 200
+_MILLISECONDS_PER_SECOND: Final = 1000
 _GONE: Final = 410
 
 
@@ -181,7 +183,7 @@
     watcher.list_needed &= bool(listed) and all(has_changed)
     is_new_era = era > watcher.gossip.era_by_topic[watcher.topic]
     if is_new_era or revision >= known_revision:
-        changes = _apply_pages(watcher, pages)
+        changes = _apply_pages(watcher, pages, requested_at)
         watcher.era = era
         watcher.watch_from_revision = revision
         _record_read(watcher, revision, requested_at)
@@ -190,7 +192,9 @@
     return any(has_changed)
 
 
-def _apply_pages(watcher: TopicWatcher, pages: _Pages) -> TopicChanges:
+def _apply_pages(
+    watcher: TopicWatcher, pages: _Pages, requested_at: float
+) -> TopicChanges:
     """Apply a complete list; return what to announce.
 
     The other instances fetch the first list of an era, since no change leads
@@ -202,7 +206,7 @@
     known_revision = gossip.revision_by_topic[topic]
     previous = watcher.steering.routes.publication
     if era == gossip.era_by_topic[topic]:
-        apply_list(watcher.steering, topic, listed)
+        _apply_current_list(watcher, listed, requested_at)
         return _describe_list(watcher, known_revision, revision, previous)
     is_restored = known_revision > 0
     apply_list(watcher.steering, topic, listed, is_restored=is_restored)
@@ -210,6 +214,16 @@
     return no_changes(watcher, revision)
 
 
+def _apply_current_list(
+    watcher: TopicWatcher, listed: list[StoredObject], requested_at: float
+) -> None:
+    """Apply a complete list of the known era."""
+    delay = find_change_delay(watcher, requested_at, requested_at)
+    noticed_at = steady_seconds()
+    apply_list(watcher.steering, watcher.topic, listed)
+    backdate_missing(watcher.steering.pool, noticed_at, requested_at - delay)
+
+
 async def _read_pages(watcher: TopicWatcher) -> _Pages | None:
     """Return the objects of a topic, the revision to watch from, and its era.
 
@@ -257,13 +271,20 @@
     # the response, or this process, was held up.
     received_at = steady_seconds() - response.receive_seconds
     confirmed_at = min(received_at, requested_at + wait_seconds)
-    return _apply_response(watcher, response, confirmed_at)
+    delay = find_change_delay(watcher, requested_at, received_at)
+    return _apply_response(watcher, response, confirmed_at, delay)
 
 
 def _apply_response(
-    watcher: TopicWatcher, response: ClientResponse, confirmed_at: float
+    watcher: TopicWatcher,
+    response: ClientResponse,
+    confirmed_at: float,
+    delay: float,
 ) -> bool:
-    """Apply the response to a watch; return whether it had changes."""
+    """Apply the response to a watch; return whether it had changes.
+
+    `delay` is for how many seconds they may have been in force.
+    """
     changes, revision = _decode(response, decode_changes)
     _log_read(watcher, response, len(changes), _count_superseded(changes))
     known_revision = watcher.gossip.revision_by_topic[watcher.topic]
@@ -272,14 +293,24 @@
     watcher.list_needed = len(changes) > _count_objects(watcher)
     if changes and revision > known_revision:
         previous = watcher.steering.routes.publication
+        noticed_at = steady_seconds()
         apply_object_changes(watcher.steering, watcher.topic, changes)
+        pool = watcher.steering.pool
+        backdate_missing(pool, noticed_at, noticed_at - delay)
         _record_read(watcher, revision, confirmed_at)
         # No change of this topic lies between the known revision and a later
         # one from which the watch started.
         since = min(watched_from, known_revision)
         body = _encode_body(watcher, previous, changes)
         watcher.announce(
-            TopicChanges(watcher.topic, since, revision, body, watcher.era)
+            TopicChanges(
+                watcher.topic,
+                since,
+                revision,
+                body,
+                watcher.era,
+                int(delay * _MILLISECONDS_PER_SECOND),
+            )
         )
     else:
         # A revision from another instance is as recent as this response.
--- a/marlbend/topics/watcher.py
+++ b/marlbend/topics/watcher.py
@@ -21,6 +21,7 @@
 __all__ = (
     'TopicWatcher',
     'end_failure',
+    'find_change_delay',
     'find_retry_delay',
     'no_changes',
     'record_failure',
@@ -32,6 +33,8 @@
 # While the store is away, all instances together retry this often for each
 # topic.  One that succeeds tells the others.
 FLEET_RETRIES_PER_SECOND: Final = 50.0
+# A response to a watch that takes longer has waited for its changes.
+IMMEDIATE_SECONDS: Final = 0.2
 # Calls for one topic: more than a storm of changes makes, and less than a loop
 # without a pause.  If 300 instances read all topics at once, they make 3,600 of
 # the 6,000 calls that the platform allows them in a second.
@@ -137,6 +140,22 @@
     watcher.retry_delay = 0
 
 
+def find_change_delay(
+    watcher: TopicWatcher, requested_at: float, received_at: float
+) -> float:
+    """Return for how many seconds changes may have been in force when read.
+
+    The store responds to a watch at once if there are changes already.  These
+    came after the platform was last heard, perhaps by a reader that was lost
+    before it told anybody.  Time in which the platform was out does not count.
+    """
+    heard_at = watcher.gossip.confirmed_at_by_topic[watcher.topic]
+    has_waited = received_at - requested_at > IMMEDIATE_SECONDS
+    if has_waited or heard_at == float('-inf') or heard_at < watcher.failed_at:
+        return 0
+    return max(received_at - heard_at, 0)
+
+
 def no_changes(watcher: TopicWatcher, revision: int) -> TopicChanges:
     """Return changes that lead nowhere, for heartbeats without any."""
     return TopicChanges(watcher.topic, revision, revision, b'')
--- a/marlbend/wire/heartbeats.py
+++ b/marlbend/wire/heartbeats.py
@@ -88,7 +88,9 @@
 class TopicChanges(msgspec.Struct, array_like=True, frozen=True):
     """Carry the changes of a topic after one revision and up to another.
 
-    Both revisions belong to the same era.
+    Both revisions belong to the same era.  `delay` is for how many milliseconds
+    the changes may have been in force before they were read, zero for changes
+    that were read at once, and from instances of former releases.
     """
 
     topic: _TopicNumber
@@ -96,6 +98,7 @@
     until: int
     body: bytes
     era: _Era = 0
+    delay: _Age = 0
 
 
 @final
