Decode no port of thousands of digits, and catch one set of decode errors

Here, an entry whose port has 5,000 digits did: no later change of any upstream was applied, and an instance that started got none.

Cause: Python refuses to convert a text of over 4,300 digits, and the port was converted before it was compared with the largest one. E108 of the task `upstreams` showed `ValueError` once a second.

Change: a port has one to five digits before it is converted, in entries and in routes; the store's era up to six. Ports in the list of instances are limited to those that exist. `VALUE_ERRORS`, which had three spellings, is one set that each decoder of foreign bytes catches, so that deep nesting is malformed there, too. An object that is read alone is decoded like those of a list.

--- a/marlbend/cli/explaining.py
+++ b/marlbend/cli/explaining.py
@@ -9,7 +9,7 @@
 from marlbend.errorcodes import ErrorKind
 from marlbend.errors import MarlbendError
 from marlbend.http import ClientResponse, Connection
-from marlbend.validation import is_address
+from marlbend.validation import VALUE_ERRORS, is_address
 from marlbend.wire import EXPLAIN_PATH
 from marlbend.wire.status import CandidateStatus, FlowExplanation
 
@@ -66,7 +66,7 @@
         )
     try:
         explanation = msgspec.json.decode(response.body, type=FlowExplanation)
-    except msgspec.DecodeError as error:
+    except VALUE_ERRORS as error:
         raise _unreachable(control) from error
     return ExplainReport(explanation)
 
--- a/marlbend/cli/fleet.py
+++ b/marlbend/cli/fleet.py
@@ -13,6 +13,7 @@
 from marlbend.errorcodes import ErrorKind
 from marlbend.errors import MarlbendError
 from marlbend.http import ClientResponse, Connection
+from marlbend.validation import VALUE_ERRORS
 from marlbend.wire import STATUS_PATH
 from marlbend.wire.status import CookieStatus, UpstreamStatus
 
@@ -29,6 +30,7 @@
 
 STATUS_TIMEOUT_SECONDS: Final = 2.0
 _OK: Final = 200
+_READ_ERRORS: Final = (MarlbendError, *VALUE_ERRORS)
 _FLOW_KEY: Final = 'flow'
 _SPREAD_TEMPLATE: Final = (
     '{service}/{name} in {domain}: {state}, {flows} flows, {busy} requests'
@@ -208,7 +210,7 @@
         return _decode_status(
             await connection.request('GET', STATUS_PATH, STATUS_TIMEOUT_SECONDS)
         )
-    except (MarlbendError, msgspec.DecodeError):
+    except _READ_ERRORS:
         # The caller reports the instance as unreachable.
         return None
     finally:
--- a/marlbend/config/publish.py
+++ b/marlbend/config/publish.py
@@ -23,6 +23,7 @@
 from marlbend.errorcodes import ErrorKind
 from marlbend.errors import MarlbendError
 from marlbend.platform.client import PlatformClient, VersionedBody, WriteResult
+from marlbend.validation import VALUE_ERRORS
 
 __all__ = (
     'CONFIG_PATH',
@@ -56,7 +57,7 @@
         return Configuration(())
     try:
         return msgspec.json.decode(stored.body, type=Configuration)
-    except msgspec.DecodeError as error:
+    except VALUE_ERRORS as error:
         raise MarlbendError(
             ErrorKind.MESSAGE_MALFORMED,
             error_messages.MESSAGE_MALFORMED.format(
--- a/marlbend/ownership/instances.py
+++ b/marlbend/ownership/instances.py
@@ -11,8 +11,10 @@
 from marlbend import error_messages
 from marlbend.errorcodes import ErrorKind
 from marlbend.errors import MarlbendError
+from marlbend.options import Port
 from marlbend.ownership.members.member import Member, MemberState
 from marlbend.platform.client import VersionedBody
+from marlbend.validation import VALUE_ERRORS
 
 __all__ = ('INSTANCES_PATH', 'ListedInstance', 'decode_instances')
 
@@ -26,10 +28,10 @@
     address: str
     domain: str
     state: Literal['live', 'leaving']
-    fabric_port: int
-    relay_port: int
-    control_port: int
-    admin_port: int
+    fabric_port: Port
+    relay_port: Port
+    control_port: Port
+    admin_port: Port
 
 
 class InstanceList(msgspec.Struct, frozen=True):
@@ -47,7 +49,7 @@
         return []
     try:
         listed = msgspec.json.decode(stored.body, type=InstanceList)
-    except msgspec.DecodeError as error:
+    except VALUE_ERRORS as error:
         raise MarlbendError(
             ErrorKind.MESSAGE_MALFORMED,
             error_messages.MESSAGE_MALFORMED.format(
--- a/marlbend/ownership/wire/control.py
+++ b/marlbend/ownership/wire/control.py
@@ -6,6 +6,7 @@
 
 from marlbend.ownership.wire.liveness import Ack, Ping, PingRequest
 from marlbend.ownership.wire.replication import LoadReport, ReplicaUpdate
+from marlbend.validation import VALUE_ERRORS
 
 __all__ = ('ControlMessage', 'decode', 'encode')
 
@@ -24,5 +25,5 @@
     """Return the message, or None if the datagram is malformed."""
     try:
         return _decoder.decode(datagram)
-    except msgspec.DecodeError:
+    except VALUE_ERRORS:
         return None
--- a/marlbend/platform/client.py
+++ b/marlbend/platform/client.py
@@ -18,10 +18,11 @@
 from marlbend.http import ClientResponse, Connection
 from marlbend.platform.pages import (
     ObjectChange,
-    StoredObject,
     decode_changes,
+    decode_object,
     decode_page,
 )
+from marlbend.validation import VALUE_ERRORS
 
 __all__ = (
     'PlatformClient',
@@ -47,6 +48,8 @@
 _SERVER_ERROR: Final = 500
 _MILLISECONDS_PER_SECOND: Final = 1000
 _ERA_HEADER: Final = 'store-era'
+# A version has 63 bits, and its era is above the bits of the revision.
+_ERA: Final = re.compile('[0-9]{1,6}')
 _PLATFORM_URL: Final = re.compile(r'http://([^:/]+):(\d+)')
 
 
@@ -218,7 +221,7 @@
     its latest changes.  Revisions of one era say nothing about another.
     """
     text = response.headers.get(_ERA_HEADER, '')
-    return int(text) if text.isascii() and text.isdecimal() else 0
+    return int(text) if _ERA.fullmatch(text) else 0
 
 
 def expect_status(
@@ -259,8 +262,8 @@
         return VersionedBody(0, era=read_era(response))
     expect_status(response, url, _OK, _CREATED, _CONFLICT)
     try:
-        stored = msgspec.json.decode(response.body, type=StoredObject)
-    except msgspec.DecodeError as error:
+        stored = decode_object(response.body)
+    except VALUE_ERRORS as error:
         raise MarlbendError(
             ErrorKind.MESSAGE_MALFORMED,
             error_messages.MESSAGE_MALFORMED.format(
--- a/marlbend/platform/objects.py
+++ b/marlbend/platform/objects.py
@@ -7,14 +7,14 @@
 import msgspec
 
 from marlbend.options import HOUR_MILLISECONDS, MAX_PORT
-from marlbend.platform.pages import VALUE_ERRORS, StoredObject
+from marlbend.platform.pages import StoredObject
 from marlbend.steering.documents import (
     Publication,
     RouteSpec,
     ServiceLimits,
     UpstreamEntry,
 )
-from marlbend.validation import is_address, pack_address
+from marlbend.validation import VALUE_ERRORS, is_address, pack_address
 
 __all__ = (
     'CONFIG_NAME',
@@ -36,6 +36,7 @@
 # The name of an upstream ends with the number of its host in hexadecimal, such
 # as h-00000000002a.
 _UPSTREAM_NAME: Final = re.compile('(?:.*-)?([0-9a-fA-F]{1,16})')
+_PORT: Final = re.compile('[0-9]{1,5}')
 _PORT_BYTES: Final = 2
 _MILLISECONDS_PER_SECOND: Final = 1000
 _HEXADECIMAL: Final = 16
@@ -176,16 +177,17 @@
 
 def _encode_route_endpoint(route: _Route) -> bytes:
     """Return the port and address in the encoding of a packet header."""
-    port = int(route.path_prefix.strip('/'))
+    port_text = route.path_prefix.strip('/')
+    if _PORT.fullmatch(port_text) is None:
+        raise ValueError(route.path_prefix)
+    port = int(port_text)
     address = pack_address(route.hostname)
     return port.to_bytes(_PORT_BYTES) + address
 
 
 def _parse_endpoint(text: str) -> tuple[str, int] | None:
     address, _, port_text = text.rpartition(':')
-    if not (
-        is_address(address) and port_text.isascii() and port_text.isdecimal()
-    ):
+    if not is_address(address) or _PORT.fullmatch(port_text) is None:
         return None
     port = int(port_text)
     return (address, port) if 0 < port <= MAX_PORT else None
--- a/marlbend/platform/pages.py
+++ b/marlbend/platform/pages.py
@@ -12,17 +12,16 @@
 import msgspec
 
 from marlbend.platform.splitting import split_elements, split_members
+from marlbend.validation import VALUE_ERRORS
 
 __all__ = (
-    'VALUE_ERRORS',
     'ObjectChange',
     'StoredObject',
     'decode_changes',
+    'decode_object',
     'decode_page',
 )
 
-# What the decoder raises for text that one writer can put into the store.
-VALUE_ERRORS: Final = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
 _NULL: Final = b'null'
 
 
@@ -107,11 +106,14 @@
     for raw in raws:
         # Skip objects that cannot be decoded.
         with suppress(*VALUE_ERRORS):
-            yield _decode_object(raw)
+            yield decode_object(raw)
 
 
-def _decode_object(raw: msgspec.Raw) -> StoredObject:
-    """Decode an object, even if its `spec` or `status` cannot be decoded."""
+def decode_object(raw: bytes | msgspec.Raw) -> StoredObject:
+    """Decode an object, even if its `spec` or `status` cannot be decoded.
+
+    Raise one of `VALUE_ERRORS` if its name cannot be decoded.
+    """
     try:
         return msgspec.json.decode(raw, type=StoredObject)
     except VALUE_ERRORS:
--- a/marlbend/topics/changes.py
+++ b/marlbend/topics/changes.py
@@ -37,6 +37,7 @@
     is_newer,
     update_revision,
 )
+from marlbend.validation import VALUE_ERRORS
 from marlbend.wire.compression import compress, decompress
 from marlbend.wire.heartbeats import TopicChanges
 
@@ -108,7 +109,7 @@
     since = noticed_at - changes.delay / _MILLISECONDS_PER_SECOND
     try:
         is_applied = _APPLY_BY_TOPIC[topic](steering, changes.body)
-    except msgspec.DecodeError as error:
+    except VALUE_ERRORS as error:
         # The known revision stays as it is, so the topic is fetched.
         emit(
             Event.UPDATE_FAILED,
--- a/marlbend/topics/fetching.py
+++ b/marlbend/topics/fetching.py
@@ -42,12 +42,14 @@
     enter_era,
     update_revision,
 )
+from marlbend.validation import VALUE_ERRORS
 from marlbend.wire.compression import compress, decompress
 from marlbend.wire.heartbeats import TopicChanges
 
 __all__ = ('fetch_topic', 'make_topic_handlers')
 
 FETCH_TIMEOUT_SECONDS: Final = 1.0
+_FETCH_ERRORS: Final = (MarlbendError, *VALUE_ERRORS)
 _MILLISECONDS_PER_SECOND: Final = 1000
 _OK: Final = 200
 _UNAVAILABLE: Final = 503
@@ -179,7 +181,7 @@
             sender_address[0],
             requested_at,
         )
-    except (MarlbendError, msgspec.DecodeError, RecursionError) as error:
+    except _FETCH_ERRORS as error:
         node.gossip.transfers_by_topic[topic].failed_fetches += 1
         emit(
             Event.UPDATE_FAILED,
--- a/marlbend/topics/reader.py
+++ b/marlbend/topics/reader.py
@@ -13,8 +13,6 @@
 from collections.abc import Callable, Iterable
 from typing import Final, TypeVar
 
-import msgspec
-
 from marlbend import error_messages
 from marlbend.clock import steady_seconds
 from marlbend.errorcodes import ErrorKind
@@ -57,6 +55,7 @@
     no_changes,
     record_failure,
 )
+from marlbend.validation import VALUE_ERRORS
 from marlbend.wire.heartbeats import TopicChanges
 
 __all__ = ('TopicWatcher', 'watch_topic')
@@ -407,11 +406,7 @@
 ) -> _Decoded:
     try:
         return parse(response.body)
-    except (
-        msgspec.DecodeError,
-        UnicodeDecodeError,
-        RecursionError,
-    ) as error:
+    except VALUE_ERRORS as error:
         raise MarlbendError(
             ErrorKind.MESSAGE_MALFORMED,
             error_messages.MESSAGE_MALFORMED.format(
--- a/marlbend/topics/unlisted.py
+++ b/marlbend/topics/unlisted.py
@@ -38,6 +38,7 @@
     list_unregistered,
 )
 from marlbend.topics.knowledge import Topic
+from marlbend.validation import VALUE_ERRORS
 from marlbend.wire.heartbeats import ReopenedFlowUpdate
 
 __all__ = (
@@ -49,6 +50,7 @@
 )
 
 FETCH_TIMEOUT_SECONDS: Final = 1.0
+_FETCH_ERRORS: Final = (MarlbendError, *VALUE_ERRORS)
 _OK: Final = 200
 _UNAVAILABLE: Final = 503
 _PATH: Final = '/unlisted'
@@ -122,7 +124,7 @@
     connection = Connection(address)
     try:
         await _request_and_apply(node, connection)
-    except (MarlbendError, msgspec.DecodeError, RecursionError) as error:
+    except _FETCH_ERRORS as error:
         emit(Event.UPDATE_FAILED, peer=address[0], error=error, kind='unlisted')
     finally:
         connection.close()
--- a/marlbend/validation.py
+++ b/marlbend/validation.py
@@ -17,6 +17,7 @@
 from marlbend.errors import MarlbendError, Problem
 
 __all__ = (
+    'VALUE_ERRORS',
     'check_address',
     'find_problems',
     'is_address',
@@ -25,6 +26,9 @@
     'validate_document',
 )
 
+# What the decoders raise for the bytes of others.
+VALUE_ERRORS: Final = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
+
 _Document = TypeVar('_Document', bound=msgspec.Struct)
 
 _ROOT_PATH: Final = '$'
@@ -44,7 +48,7 @@
         ) from None
     try:
         return msgspec.json.decode(raw)
-    except msgspec.DecodeError as decode_error:
+    except VALUE_ERRORS as decode_error:
         raise MarlbendError(
             ErrorKind.NOT_JSON,
             error_messages.NOT_JSON.format(path=path, reason=decode_error),
--- a/marlbend/wire/heartbeats.py
+++ b/marlbend/wire/heartbeats.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from marlbend.validation import VALUE_ERRORS
+
 __all__ = (
     'MAX_PRESSURE',
     'MAX_PRESSURES',
@@ -248,6 +250,6 @@
     """Return the heartbeat in a datagram, or `None` if it is malformed."""
     try:
         heartbeat = _DECODER.decode(datagram)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except VALUE_ERRORS:
         return None
     return heartbeat if heartbeat.members else None
