--- a/marlbend/platform/client.py
+++ b/marlbend/platform/client.py
@@ -48,8 +48,8 @@
 _SERVER_ERROR: Final = 500
 _MILLISECONDS_PER_SECOND: Final = 1000
 _ERA_HEADER: Final = 'store-era'
-# A version has 63 bits, and its era is above the bits of the revision.
-_ERA: Final = re.compile('[0-9]{1,6}')
+# Instances pass an era on in 63 bits.
+_ERA: Final = re.compile('[0-9]{1,18}')
 _PLATFORM_URL: Final = re.compile(r'http://([^:/]+):(\d+)')
 
 
