--- a/review/stand_ins_3/host_packets.py
+++ b/review/stand_ins_3/host_packets.py
@@ -96,13 +96,21 @@
     if flow is None:
         flow = HostFlow(packet)
         host.flow_by_ends[packet.ends] = flow
-        host.world.record.note(f'{host.name} takes SYN of {packet.ends}')
-        host.world.arrivals.append((time.monotonic(), host.name))
+        _note_arrival(host, packet)
         _repeat(host, flow, _send_syn_ack, RETRIES)
     elif not flow.is_open:
         _send_syn_ack(host, flow)
 
 
+def _note_arrival(host, packet):
+    world = host.world
+    node_name = world.node_by_ends.get(packet.ends, '')
+    world.arrivals.append((time.monotonic(), host.name, node_name))
+    world.record.note(
+        f'{host.name} takes SYN of {packet.ends} from {node_name}'
+    )
+
+
 def _send_syn_ack(host, flow):
     """Send a SYN+ACK; return whether the handshake is not complete."""
     if not flow.is_open:
@@ -180,8 +188,8 @@
     world = host.world
     world.record.note(f'{host.name} runs {name}')
     world.record.counts['run'] += 1
-    world.runs_by_name[name] += 1
-    if world.runs_by_name[name] > 1:
+    world.record.runs_by_name[name] += 1
+    if world.record.runs_by_name[name] > 1:
         world.record.fail('UNASKED', f'{name} runs again')
     asyncio.get_running_loop().call_later(
         _draw_work(world), _finish, host, name, flow
--- a/review/stand_ins_3/records.py
+++ b/review/stand_ins_3/records.py
@@ -7,10 +7,18 @@
 class Record:
     """Hold the record of one run.
 
-    `broken` holds each broken rule with what was seen.
+    `broken` holds each broken rule with what was seen, and `runs_by_name` how
+    often each request began to run.
     """
 
-    __slots__ = ('_lines', '_path', 'broken', 'counts', 'started_at')
+    __slots__ = (
+        '_lines',
+        '_path',
+        'broken',
+        'counts',
+        'runs_by_name',
+        'started_at',
+    )
 
     def __init__(self, path):
         """Start now; the file is written at the end."""
@@ -18,6 +26,7 @@
         self._lines = []
         self.started_at = time.monotonic()
         self.counts = collections.Counter()
+        self.runs_by_name = collections.Counter()
         self.broken = []
 
     def note(self, text):
--- a/review/stand_ins_3/traffic.py
+++ b/review/stand_ins_3/traffic.py
@@ -67,7 +67,7 @@
     )
     times = [
         at
-        for at, host in world.arrivals
+        for at, host, _ in world.arrivals
         if host == name and began_at <= at <= warm_at
     ]
     most = max(
--- a/review/stand_ins_3/world.py
+++ b/review/stand_ins_3/world.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import collections
 import itertools
 import os
 import random
@@ -38,9 +37,10 @@
 class World:
     """Hold everything of one run.
 
-    `holder_by_ends` holds the host of each open flow, `arrivals` when each host
-    took an opening packet.  Requests take the time on the users' sheet, times
-    `work_scale`.
+    `holder_by_ends` holds the host of each open flow, `node_by_ends` the name
+    of the instance that got its latest packet.  `arrivals` holds when each host
+    took an opening packet, and from which instance.  Requests take the time on
+    the users' sheet, times `work_scale`.
     """
 
     def __init__(self, case_folder, seed):
@@ -58,7 +58,7 @@
         self.host_by_address = {}
         self.holder_by_ends = {}
         self.arrivals = []
-        self.runs_by_name = collections.Counter()
+        self.node_by_ends = {}
         self.work_scale = 1
         self.tasks = set()
         self._router = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -72,6 +72,7 @@
         """Send a client's packet to the instance that the routers choose."""
         node = choose_node(self.nodes, zone, ends)
         if node is not None:
+            self.node_by_ends[ends] = node.name
             self._router.sendto(raw, (node.address, self.ports['data']))
 
     def judge_reset(self, flow, packet, sender):
